--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# One command each: `make demo` runs the main job, `make test` the tests.
+VENV ?= .venv
+PYTHON ?= python3
+
+$(VENV)/installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -e '.[test]'
+	touch $@
+
+.PHONY: install demo test check bench
+install: $(VENV)/installed
+
+demo: install
+	$(VENV)/bin/python -m carobsail.demo
+
+test: install
+	$(VENV)/bin/python -m pytest
+
+check: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+bench: install
+	$(VENV)/bin/python -m bench.all
--- /dev/null
+++ b/carobsail/__init__.py
@@ -0,0 +1,1 @@
+"""Serves many models on fewer accelerators, whole and on time."""
