--- /dev/null
+++ b/carobsail/inventory.py
@@ -0,0 +1,158 @@
+"""The platform's inventory: instances, targets, models, adapters and links.
+
+The platform publishes one JSON document. It lags: an instance that is listed
+as live may be dead, and one that is leaving may still be listed as live.
+"""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class State(enum.StrEnum):
+    """State of an instance or target as the platform lists it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Kind(enum.StrEnum):
+    """Kind of a target."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Instance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry instance.
+
+    Attributes:
+      name: Instance name.
+      data_centre: Data centre in which it runs.
+      entry_peer: `host:port` of the entry process's peer port.
+      control_peer: `host:port` of the control process's peer port.
+      state: State as listed.
+    """
+
+    name: str
+    data_centre: str
+    entry_peer: str
+    control_peer: str
+    state: State = State.LIVE
+
+
+class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A back end.
+
+    Attributes:
+      name: Target name.
+      kind: Engine or service.
+      data_centre: Data centre in which it runs.
+      address: `host:port` of its HTTP port.
+      pool: Deployment pool of an engine (`scrivano`) or name of the service.
+      capacity_mb: Memory for weights, adapters and cache in MB.
+      adapter_pool_mb: Fixed part of it for adapters in MB.
+      cache_floor_mb: Least part of it that the KV cache keeps in MB.
+      checks_fencing: Whether it refuses orders with an old fencing number.
+      slots: Requests that it runs at once.
+      prefill_tokens_per_s: Prompt tokens processed a second.
+      decode_tokens_per_s: Tokens generated a second over all slots.
+      state: State as listed.
+    """
+
+    name: str
+    kind: Kind
+    data_centre: str
+    address: str
+    pool: str
+    capacity_mb: Count = 0
+    adapter_pool_mb: Count = 0
+    cache_floor_mb: Count = 0
+    checks_fencing: bool = False
+    slots: Count = 16
+    prefill_tokens_per_s: Positive = 8000.0
+    decode_tokens_per_s: Positive = 600.0
+    state: State = State.LIVE
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model in the weight store; `pool` names the engines that may run it."""
+
+    name: str
+    pool: str
+    weights_mb: Count
+    version: str = "1"
+
+
+class Adapter(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A low-rank adapter of a model."""
+
+    name: str
+    model: str
+    size_mb: Count
+    load_ms: Positive = 20.0
+
+
+class WeightStore(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of the weight store.
+
+    Attributes:
+      region: Region in which it stands.
+      loads_per_s: Loads that may start a second, over all engines.
+      loads_at_once: Loads under way at full speed, over all engines.
+      adapters_in_flight: Adapter loads under way at full speed.
+    """
+
+    region: str
+    loads_per_s: Positive = 1.0
+    loads_at_once: Count = 12
+    adapters_in_flight: Count = 100
+
+
+class Inventory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole inventory document.
+
+    Attributes:
+      version: Number that grows with each change.
+      regions: Region of each data centre.
+      instances: Entry instances.
+      targets: Engines and services.
+      models: Models in the weight store.
+      adapters: Adapters in the weight store.
+      weight_store: Limits of the weight store.
+      region_link_mbit_per_s: Capacity of the link between regions, each way.
+      region_latency_ms: One-way latency between regions.
+      centre_latency_ms: One-way latency between data centres of a region.
+    """
+
+    version: int
+    regions: dict[str, str]
+    instances: list[Instance]
+    targets: list[Target]
+    models: list[Model]
+    adapters: list[Adapter]
+    weight_store: WeightStore
+    region_link_mbit_per_s: Positive = 15.0
+    region_latency_ms: Positive = 20.0
+    centre_latency_ms: Positive = 0.5
+
+    def in_data_centre(self, data_centre: str) -> list[Target]:
+        """Returns the targets of one data centre."""
+        return [t for t in self.targets if t.data_centre == data_centre]
+
+    def same_region(self, first: str, second: str) -> bool:
+        """Tells whether two data centres share a region."""
+        return self.regions.get(first) == self.regions.get(second)
+
+
+def parse(document: bytes) -> Inventory:
+    """Parses the platform's JSON document.
+
+    Raises:
+      msgspec.ValidationError: The document does not have the right form.
+    """
+    return msgspec.json.decode(document, type=Inventory)
--- /dev/null
+++ b/carobsail/keyvalue.py
@@ -0,0 +1,304 @@
+"""Client of the platform's key-value service.
+
+`KeyValueClient` is the interface that the rest of the code uses;
+`MemoryKeyValue` holds the data in memory, for tests and the demo. The HTTP
+client for the published etcd v3 JSON gateway is in `etcd.py`.
+"""
+
+import abc
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator
+
+from carobsail import errors
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeyValue:
+    """A stored value; revisions are those of the whole service."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Compare:
+    """Condition of a transaction: the key's last revision (0: absent)."""
+
+    key: str
+    mod_revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Put:
+    """Writes a value, optionally bound to a lease."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Delete:
+    """Deletes a key."""
+
+    key: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TransactionResult:
+    """Result of a transaction.
+
+    Attributes:
+      succeeded: Whether all conditions held and the writes took effect.
+      revision: Revision of the service after the transaction.
+      current: When not succeeded, the present values of the compared keys
+        that exist.
+    """
+
+    succeeded: bool
+    revision: int
+    current: tuple[KeyValue, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RangeResult:
+    """Values under a prefix, and the service's revision when read."""
+
+    revision: int
+    values: tuple[KeyValue, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchEvent:
+    """A change of a key; `value` is None when it was deleted."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class KeyValueClient(abc.ABC):
+    """Asynchronous key-value operations.
+
+    Each method returns a `Failure` of step `KEY_VALUE` instead of raising.
+    A failed write has outcome NOT_RUN when it was certainly not sent and
+    UNKNOWN when it may have taken effect.
+    """
+
+    @abc.abstractmethod
+    async def range(self, prefix: str) -> RangeResult | errors.Failure:
+        """Reads all values whose key starts with `prefix`, sorted by key."""
+
+    @abc.abstractmethod
+    async def transact(
+        self, compares: list[Compare], writes: list[Put | Delete]
+    ) -> TransactionResult | errors.Failure:
+        """Writes all of `writes` if every condition holds."""
+
+    @abc.abstractmethod
+    async def grant_lease(self, ttl_s: int) -> int | errors.Failure:
+        """Creates a lease and returns its identifier."""
+
+    @abc.abstractmethod
+    async def keep_lease(self, lease: int) -> float | errors.Failure:
+        """Renews a lease; returns its remaining seconds (0: it is gone)."""
+
+    @abc.abstractmethod
+    async def revoke_lease(self, lease: int) -> None | errors.Failure:
+        """Ends a lease and deletes its keys."""
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[list[WatchEvent] | errors.Failure]:
+        """Yields changes from `start_revision` on, in order.
+
+        The iterator ends after a `Failure`; the caller reads the range again
+        and starts a new watch.
+        """
+
+
+class MemoryKeyValue(KeyValueClient):
+    """Key-value service in memory on the loop's clock.
+
+    Attributes:
+      available: While False, each call fails without effect.
+      lose_answers: Number of coming writes that take effect but whose answer
+        is lost.
+      calls: Number of calls by method name.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_leases",
+        "_log",
+        "_next_lease",
+        "_revision",
+        "_values",
+        "available",
+        "calls",
+        "lose_answers",
+    )
+
+    def __init__(self) -> None:
+        self.available = True
+        self.lose_answers = 0
+        self.calls: dict[str, int] = {}
+        self._values: dict[str, KeyValue] = {}
+        self._log: list[WatchEvent] = []
+        self._revision = 1
+        self._next_lease = 1
+        self._leases: dict[int, tuple[float, int]] = {}
+        self._changed = asyncio.Event()
+
+    def _count(self, method: str) -> None:
+        self.calls[method] = self.calls.get(method, 0) + 1
+        self._expire()
+
+    def _failure(self, outcome: errors.Outcome) -> errors.Failure:
+        return errors.Failure(
+            errors.Reason.UNAVAILABLE,
+            errors.Step.KEY_VALUE,
+            "key-value",
+            outcome,
+        )
+
+    def _expire(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for lease, (expiry, _) in list(self._leases.items()):
+            if expiry <= now:
+                self._drop_lease(lease)
+
+    def _drop_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        keys = [v.key for v in self._values.values() if v.lease == lease]
+        if keys:
+            self._write([Delete(key) for key in keys])
+
+    def _write(self, writes: list[Put | Delete]) -> None:
+        self._revision += 1
+        for write in writes:
+            if isinstance(write, Put):
+                self._values[write.key] = KeyValue(
+                    write.key, write.value, self._revision, write.lease
+                )
+                event = WatchEvent(write.key, write.value, self._revision)
+            elif self._values.pop(write.key, None) is None:
+                continue
+            else:
+                event = WatchEvent(write.key, None, self._revision)
+            self._log.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def range(self, prefix: str) -> RangeResult | errors.Failure:
+        """See base class."""
+        self._count("range")
+        await asyncio.sleep(0)
+        if not self.available:
+            return self._failure(errors.Outcome.NOT_RUN)
+        found = sorted(
+            (v for k, v in self._values.items() if k.startswith(prefix)),
+            key=lambda value: value.key,
+        )
+        return RangeResult(self._revision, tuple(found))
+
+    async def transact(
+        self, compares: list[Compare], writes: list[Put | Delete]
+    ) -> TransactionResult | errors.Failure:
+        """See base class."""
+        self._count("transact")
+        await asyncio.sleep(0)
+        if not self.available:
+            return self._failure(errors.Outcome.NOT_RUN)
+        holds = all(
+            self._revision_of(c.key) == c.mod_revision for c in compares
+        )
+        leases_live = all(
+            not (isinstance(w, Put) and w.lease) or w.lease in self._leases
+            for w in writes
+        )
+        if not leases_live:
+            return self._failure(errors.Outcome.NOT_RUN)
+        if holds and writes:
+            self._write(writes)
+        if writes and self.lose_answers:
+            self.lose_answers -= 1
+            return self._failure(errors.Outcome.UNKNOWN)
+        current = () if holds else self._current(compares)
+        return TransactionResult(holds, self._revision, current)
+
+    def _revision_of(self, key: str) -> int:
+        value = self._values.get(key)
+        return value.mod_revision if value else 0
+
+    def _current(self, compares: list[Compare]) -> tuple[KeyValue, ...]:
+        keys = [c.key for c in compares]
+        return tuple(self._values[k] for k in keys if k in self._values)
+
+    async def grant_lease(self, ttl_s: int) -> int | errors.Failure:
+        """See base class."""
+        self._count("grant_lease")
+        await asyncio.sleep(0)
+        if not self.available:
+            return self._failure(errors.Outcome.NOT_RUN)
+        lease = self._next_lease
+        self._next_lease += 1
+        now = asyncio.get_running_loop().time()
+        self._leases[lease] = (now + ttl_s, ttl_s)
+        return lease
+
+    async def keep_lease(self, lease: int) -> float | errors.Failure:
+        """See base class."""
+        self._count("keep_lease")
+        await asyncio.sleep(0)
+        if not self.available:
+            return self._failure(errors.Outcome.NOT_RUN)
+        if lease not in self._leases:
+            return 0.0
+        ttl_s = self._leases[lease][1]
+        now = asyncio.get_running_loop().time()
+        self._leases[lease] = (now + ttl_s, ttl_s)
+        return float(ttl_s)
+
+    async def revoke_lease(self, lease: int) -> None | errors.Failure:
+        """See base class."""
+        self._count("revoke_lease")
+        await asyncio.sleep(0)
+        if not self.available:
+            return self._failure(errors.Outcome.NOT_RUN)
+        self._drop_lease(lease)
+        return None
+
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[list[WatchEvent] | errors.Failure]:
+        """See base class."""
+        self._count("watch")
+        position = 0
+        while True:
+            if not self.available:
+                yield self._failure(errors.Outcome.FAILED)
+                return
+            changed = self._changed
+            events = [
+                event
+                for event in self._log[position:]
+                if event.key.startswith(prefix)
+                and event.mod_revision >= start_revision
+            ]
+            position = len(self._log)
+            if events:
+                yield events
+            else:
+                await self._wait(changed)
+
+    async def _wait(self, changed: asyncio.Event) -> None:
+        """Waits for a change, an outage or the next lease expiry."""
+        try:
+            await asyncio.wait_for(changed.wait(), timeout=0.1)
+        except TimeoutError:
+            self._expire()
--- /dev/null
+++ b/carobsail/messages.py
@@ -0,0 +1,389 @@
+"""Typed messages between the system's processes and their CBOR codec.
+
+A message travels as a CBOR array whose first item is the message's tag.
+Fields are only ever appended, with defaults, so that two neighbouring
+versions understand each other.
+"""
+
+import cbor2
+import msgspec
+
+from carobsail import errors
+
+PROTOCOL_VERSION = 1
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True):
+    """Base of all peer messages."""
+
+
+class Hello(Message, tag="hello", frozen=True):
+    """First message on each link.
+
+    Attributes:
+      version: Protocol version of the sender.
+      minimum: Lowest version that the sender accepts.
+      instance: Name of the sender's instance.
+      data_centre: Data centre of the sender.
+      incarnation: Number that differs at each start of the process.
+      role: `entry` or `control`.
+    """
+
+    version: int
+    minimum: int
+    instance: str
+    data_centre: str
+    incarnation: int
+    role: str
+
+
+class Dispatch(Message, tag="dispatch", frozen=True):
+    """Asks the owner of a target to run a request.
+
+    Attributes:
+      attempt: Identifier of this attempt, unique over all instances.
+      target: Target chosen by the sender.
+      account: Client account.
+      model: Model name, empty for services.
+      adapter: Adapter name or empty.
+      method: HTTP method.
+      path: HTTP path.
+      headers: Headers to pass on.
+      body: Request body.
+      due_in_s: Seconds left until the answer is due.
+      prompt_tokens: Estimated prompt length in tokens.
+      output_tokens: Expected output length in tokens.
+      priority: Engine priority; lower is more urgent.
+      idempotent: Whether the request may be sent again.
+      fingerprint: Hash of body, model and adapter.
+    """
+
+    attempt: str
+    target: str
+    account: str
+    model: str
+    adapter: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    due_in_s: float
+    prompt_tokens: int
+    output_tokens: int
+    priority: int
+    idempotent: bool
+    fingerprint: str
+
+
+class Head(Message, tag="head", frozen=True):
+    """Status and headers of the target's answer."""
+
+    attempt: str
+    status: int
+    headers: list[tuple[str, str]]
+
+
+class Chunk(Message, tag="chunk", frozen=True):
+    """Bytes of the answer, passed on unparsed."""
+
+    attempt: str
+    data: bytes
+
+
+class End(Message, tag="end", frozen=True):
+    """The answer is complete; `length` is its number of body bytes."""
+
+    attempt: str
+    length: int
+
+
+class Failed(Message, tag="failed", frozen=True):
+    """The attempt has no whole answer."""
+
+    attempt: str
+    reason: errors.Reason
+    step: errors.Step
+    peer: str
+    outcome: errors.Outcome
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @classmethod
+    def from_failure(cls, attempt: str, failure: errors.Failure) -> "Failed":
+        """Wraps a failure for the link."""
+        return cls(
+            attempt,
+            failure.reason,
+            failure.step,
+            failure.peer,
+            failure.outcome,
+            failure.detail,
+            failure.retry_after_s,
+        )
+
+    def failure(self) -> errors.Failure:
+        """Returns the failure that the message carries."""
+        return errors.Failure(
+            self.reason,
+            self.step,
+            self.peer,
+            self.outcome,
+            self.detail,
+            self.retry_after_s,
+        )
+
+
+class Cancel(Message, tag="cancel", frozen=True):
+    """The caller left; the attempt's answer is no longer wanted."""
+
+    attempt: str
+
+
+class TargetLoad(Message, frozen=True):
+    """Load of one target as its owner sees it.
+
+    Attributes:
+      target: Target name.
+      in_flight: Requests sent and not answered.
+      queued_tokens: Prompt and output tokens not yet done.
+      models: Models that can serve now.
+      adapters: Adapters resident now.
+      serving: False while the target is leaving, dead or not trusted.
+    """
+
+    target: str
+    in_flight: int
+    queued_tokens: int
+    models: list[str]
+    adapters: list[str]
+    serving: bool
+
+
+class Loads(Message, tag="loads", frozen=True):
+    """Changed loads of the sender's targets, once a second at most."""
+
+    seq: int
+    full: bool
+    targets: list[TargetLoad]
+
+
+class SuspectEntry(Message, frozen=True):
+    """Crash suspicion of one fingerprint; `age_s` is its age in seconds."""
+
+    fingerprint: str
+    crashes: int
+    age_s: float
+
+
+class Suspects(Message, tag="suspects", frozen=True):
+    """Shares crash suspicions with peers."""
+
+    entries: list[SuspectEntry]
+
+
+class Claim(Message, tag="claim", frozen=True):
+    """Asks the claim writer for an idempotency key."""
+
+    account: str
+    key: str
+    token: str
+    fingerprint: str
+
+
+class StoredAnswer(Message, frozen=True):
+    """A recorded answer that repeats of an operation receive."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class ClaimResult(Message, tag="claim_result", frozen=True):
+    """Answer of the claim writer.
+
+    `state` is `granted`, `done` (with `answer`), `unknown` (taken, no result
+    recorded), `mismatch` (taken by another request body) or `unavailable`.
+    """
+
+    token: str
+    state: str
+    answer: StoredAnswer | None = None
+
+
+class Settle(Message, tag="settle", frozen=True):
+    """Records the result of a claimed operation, or releases the claim.
+
+    `state` is `done` (with `answer`), `unknown` or `released`.
+    """
+
+    account: str
+    key: str
+    token: str
+    fingerprint: str
+    state: str
+    answer: StoredAnswer | None = None
+
+
+class Settled(Message, tag="settled", frozen=True):
+    """The claim writer has recorded (or failed to record) a `Settle`."""
+
+    token: str
+    recorded: bool
+
+
+class Heartbeat(Message, tag="heartbeat", frozen=True):
+    """Sent every 0.5 s on each link in a data centre."""
+
+    seq: int
+    ready: bool
+    leaving: bool
+    revision: int
+
+
+class Grant(Message, tag="grant", frozen=True):
+    """Gives an entry instance the ownership of targets.
+
+    Attributes:
+      epoch: Number of the assignment, the fencing number of orders.
+      expires_in_s: Validity in seconds from the time that it was sent.
+      targets: Targets owned by the receiver.
+      owners: Owner instance of each target of the data centre.
+      orders_allowed: False during an outage of the key-value service.
+      calls_per_s: Receiver's share of the key-value call budget.
+      sent_seq: Sequence number of the receiver's heartbeat that this grant
+        answers; its validity counts from when that heartbeat was sent.
+    """
+
+    epoch: int
+    expires_in_s: float
+    targets: list[str]
+    owners: dict[str, str]
+    orders_allowed: bool
+    calls_per_s: float
+    sent_seq: int
+
+
+class Snapshot(Message, tag="snapshot", frozen=True):
+    """The whole configuration at one revision."""
+
+    revision: int
+    documents: dict[str, bytes]
+
+
+class Delta(Message, tag="delta", frozen=True):
+    """Documents changed between two revisions; None deletes one."""
+
+    previous: int
+    revision: int
+    documents: dict[str, bytes | None]
+
+
+class Resync(Message, tag="resync", frozen=True):
+    """Asks the leader for a snapshot; the sender is at `revision`."""
+
+    revision: int
+
+
+class Applied(Message, tag="applied", frozen=True):
+    """The sender has applied the configuration up to `revision`."""
+
+    revision: int
+
+
+class InventoryUpdate(Message, tag="inventory", frozen=True):
+    """The platform's inventory document, relayed by the leader."""
+
+    version: int
+    document: bytes
+
+
+class TargetPlan(Message, frozen=True):
+    """What the planner wants one engine to hold."""
+
+    target: str
+    models: list[str]
+    role: str
+
+
+class Plan(Message, tag="plan", frozen=True):
+    """Leader to owner: the wanted state of the owner's engines."""
+
+    epoch: int
+    targets: list[TargetPlan]
+
+
+class TargetProgress(Message, frozen=True):
+    """Owner's account of one engine.
+
+    Attributes:
+      target: Engine name.
+      resident: Models confirmed resident.
+      reserved: Models with a recorded intent that are not confirmed.
+      demand: Requests a second asked per model since the last message.
+    """
+
+    target: str
+    resident: list[str]
+    reserved: list[str]
+    demand: dict[str, float]
+
+
+class Progress(Message, tag="progress", frozen=True):
+    """Owner to leader, once a second at most, changes only."""
+
+    epoch: int
+    targets: list[TargetProgress]
+
+
+PeerMessage = (
+    Hello
+    | Dispatch
+    | Head
+    | Chunk
+    | End
+    | Failed
+    | Cancel
+    | Loads
+    | Suspects
+    | Claim
+    | ClaimResult
+    | Settle
+    | Settled
+    | Heartbeat
+    | Grant
+    | Snapshot
+    | Delta
+    | Resync
+    | Applied
+    | InventoryUpdate
+    | Plan
+    | Progress
+)
+
+
+def encode(message: Message) -> bytes:
+    """Encodes a message as CBOR."""
+    if type(message) is Chunk:  # The hot path skips the generic conversion.
+        return cbor2.dumps(("chunk", message.attempt, message.data))
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode(data: bytes) -> Message:
+    """Decodes a CBOR message.
+
+    Args:
+      data: One CBOR item.
+
+    Returns:
+      The message.
+
+    Raises:
+      ValueError: The bytes are not a message of a known type.
+    """
+    try:
+        fields = cbor2.loads(data)
+        if fields[0] == "chunk":
+            return Chunk(fields[1], fields[2])
+        return msgspec.convert(fields, PeerMessage, builtin_types=(bytes,))
+    except (cbor2.CBORError, msgspec.ValidationError, LookupError) as error:
+        raise ValueError(f"malformed peer message: {error}") from error
