--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,34 @@
+"""Guards the peer codec against lost fields and malformed input."""
+
+import pytest
+
+from carobsail import errors, messages
+
+
+def test_failure_survives_the_codec():
+    """A failure's outcome decides on reruns, so it must cross links whole."""
+    failure = errors.Failure(
+        errors.Reason.CONNECTION_LOST,
+        errors.Step.SEND,
+        "engine-1",
+        errors.Outcome.UNKNOWN,
+        "reset",
+        1.5,
+    )
+    sent = messages.Failed.from_failure("a1", failure)
+    received = messages.decode(messages.encode(sent))
+    assert received == sent
+    assert received.failure() == failure
+
+
+def test_chunk_keeps_bytes():
+    """The fast path of chunks must agree with the generic codec."""
+    chunk = messages.Chunk("a1", b"\x00data: x\n\n")
+    assert messages.decode(messages.encode(chunk)) == chunk
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x63foo", b"\x80"])
+def test_malformed_message_is_rejected(data):
+    """A damaged frame must not raise anything but ValueError."""
+    with pytest.raises(ValueError, match="malformed"):
+        messages.decode(data)
