Add authenticated links between processes

Processes need ordered, bounded links that survive reconnects. Link has an in-memory and a websocket version; messages of one loop iteration share a frame.

--- /dev/null
+++ b/carobsail/peers.py
@@ -0,0 +1,230 @@
+"""Links over websockets, and the servers and clients that open them.
+
+A frame holds a CBOR array of encoded messages, so that the messages of one
+loop iteration share a frame and a write.
+"""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Sequence
+
+import cbor2
+import websockets
+from websockets.asyncio import client as websocket_client
+from websockets.asyncio import connection as websocket_connection
+from websockets.asyncio import server as websocket_server
+
+from carobsail import errors, handshake, messages
+from carobsail.links import Connect, Link, MemoryLink, OnLink
+from carobsail.peerset import MemoryNetwork, PeerSet
+
+__all__ = [
+    "Connect",
+    "Link",
+    "MemoryLink",
+    "MemoryNetwork",
+    "OnLink",
+    "PeerSet",
+    "WebsocketLink",
+    "connect_peer",
+    "serve_peers",
+]
+
+HANDSHAKE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+# Bound of a handshake frame, so that an unauthenticated peer holds little.
+HANDSHAKE_BYTES = 4096
+# A snapshot of the whole configuration is the largest message.
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+QUEUE_BYTES = 1024 * 1024
+# A batch ends beyond this size, so that a frame does not delay its successors.
+BATCH_BYTES = 128 * 1024
+
+
+class WebsocketLink(Link):
+    """A link over a websocket whose handshake has been completed.
+
+    Attributes:
+      rejected: Received messages that could not be decoded and were dropped,
+        for example of a type that only newer versions know.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_pump",
+        "_queue",
+        "_queued_bytes",
+        "_room",
+        "_wake",
+        "rejected",
+    )
+
+    def __init__(
+        self,
+        peer: messages.Hello,
+        connection: websocket_connection.Connection,
+    ) -> None:
+        super().__init__(peer)
+        self.rejected = 0
+        self._connection = connection
+        self._queue: collections.deque[bytes] = collections.deque()
+        self._queued_bytes = 0
+        self._room = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._pump = asyncio.create_task(self._write())
+
+    async def send(self, message: messages.Message) -> None | errors.Failure:
+        """See base class."""
+        while not self.closed and self._queued_bytes >= QUEUE_BYTES:
+            self._room.clear()
+            await self._room.wait()
+        if not self.offer(message):
+            return self._closed_failure()
+        return None
+
+    def offer(self, message: messages.Message) -> bool:
+        """See base class."""
+        if self.closed or self._queued_bytes >= QUEUE_BYTES:
+            return False
+        data = messages.encode(message)
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self._wake.set()
+        return True
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._queue:
+                    await self._connection.send(cbor2.dumps(self._batch()))
+                    self._room.set()
+        except websockets.ConnectionClosed:
+            self._end()
+
+    def _batch(self) -> list[bytes]:
+        batch: list[bytes] = []
+        size = 0
+        while self._queue and (
+            not batch or size + len(self._queue[0]) <= BATCH_BYTES
+        ):
+            batch.append(self._queue.popleft())
+            size += len(batch[-1])
+        self._queued_bytes -= size
+        return batch
+
+    def _end(self) -> None:
+        self.closed = True
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._room.set()
+
+    async def close(self) -> None:
+        """See base class."""
+        self._end()
+        self._pump.cancel()
+        await self._connection.close()
+
+    async def __aiter__(self) -> AsyncIterator[messages.Message]:
+        """See base class."""
+        try:
+            async for frame in self._connection:
+                for item in handshake.read_items(frame):
+                    try:
+                        message = messages.decode(item)
+                    except ValueError:
+                        self.rejected += 1
+                        continue
+                    yield message
+        except websockets.ConnectionClosed:
+            pass
+        finally:
+            self._end()
+            self._pump.cancel()
+
+
+def _lift_size_limit(connection: websocket_connection.Connection) -> None:
+    connection.protocol.max_message_size = MAX_FRAME_BYTES
+
+
+async def serve_peers(
+    host: str,
+    port: int,
+    hello: messages.Hello,
+    secrets: Sequence[bytes],
+    on_link: OnLink,
+) -> websocket_server.Server:
+    """Listens for peers.
+
+    Args:
+      host: Address to listen on.
+      port: Port to listen on; 0 picks one.
+      hello: Own Hello.
+      secrets: Shared secrets; the first is used for own proofs, each is
+        accepted from peers.
+      on_link: Called with each authenticated link, which is closed when the
+        call returns.
+
+    Returns:
+      The server; `close()` ends it.
+    """
+
+    async def handle(connection: websocket_server.ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                peer = await handshake.accept(connection, hello, secrets)
+        except (TimeoutError, websockets.ConnectionClosed):
+            return
+        if isinstance(peer, errors.Failure):
+            return
+        _lift_size_limit(connection)
+        link = WebsocketLink(peer, connection)
+        try:
+            await on_link(link)
+        finally:
+            await link.close()
+
+    return await websocket_server.serve(
+        handle,
+        host,
+        port,
+        compression=None,
+        max_size=HANDSHAKE_BYTES,
+        open_timeout=HANDSHAKE_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+    )
+
+
+async def connect_peer(
+    address: str, hello: messages.Hello, secrets: Sequence[bytes]
+) -> WebsocketLink | errors.Failure:
+    """Connects to the peer port at `address` (`host:port`)."""
+    connection = None
+    try:
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            connection = await websocket_client.connect(
+                f"ws://{address}",
+                compression=None,
+                max_size=HANDSHAKE_BYTES,
+                open_timeout=HANDSHAKE_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+                proxy=None,
+            )
+            peer = await handshake.introduce(
+                connection, hello, secrets, address
+            )
+    except (OSError, TimeoutError, websockets.WebSocketException) as error:
+        peer = handshake.connect_failure(
+            errors.Reason.CONNECT_FAILED,
+            address,
+            str(error) or type(error).__name__,
+            errors.Step.CONNECT,
+        )
+    if isinstance(peer, errors.Failure):
+        if connection is not None:
+            await connection.close()
+        return peer
+    assert connection is not None
+    _lift_size_limit(connection)
+    return WebsocketLink(peer, connection)
--- /dev/null
+++ b/carobsail/peerset.py
@@ -0,0 +1,170 @@
+"""Keeps links to a changing set of peers, and an in-memory network."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from carobsail import errors, messages
+from carobsail import links as peer_links
+
+FIRST_BACKOFF_S = 0.1
+# Below the 3 s validity of grants, so that a healed partition is used soon.
+MAX_BACKOFF_S = 2.0
+
+
+class PeerSet:
+    """Keeps one link to each of a changing set of addresses.
+
+    Attributes:
+      links: Present links by address.
+      failures: Last failure to connect by address.
+    """
+
+    __slots__ = ("_connect", "_on_link", "_rng", "_tasks", "failures", "links")
+
+    def __init__(
+        self,
+        connect: peer_links.Connect,
+        on_link: peer_links.OnLink,
+        rng: random.Random,
+    ) -> None:
+        """Creates an empty set.
+
+        Args:
+          connect: Connects to an address.
+          on_link: Called with each new link; the link is closed and replaced
+            when the call returns.
+          rng: Source of the jitter.
+        """
+        self.links: dict[str, peer_links.Link] = {}
+        self.failures: dict[str, errors.Failure] = {}
+        self._connect = connect
+        self._on_link = on_link
+        self._rng = rng
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def set_addresses(self, addresses: Iterable[str]) -> None:
+        """Connects to new addresses and closes links to removed ones."""
+        wanted = set(addresses)
+        for address in self._tasks.keys() - wanted:
+            self._tasks.pop(address).cancel()
+            self.failures.pop(address, None)
+        for address in sorted(wanted - self._tasks.keys()):
+            self._tasks[address] = asyncio.create_task(self._keep(address))
+
+    async def close(self) -> None:
+        """Closes all links."""
+        tasks = list(self._tasks.values())
+        self.set_addresses(())
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _keep(self, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            link = await self._connect(address)
+            if isinstance(link, errors.Failure):
+                self.failures[address] = link
+            else:
+                self.failures.pop(address, None)
+                started = loop.time()
+                await self._use(address, link)
+                if loop.time() - started > MAX_BACKOFF_S:
+                    backoff_s = FIRST_BACKOFF_S
+            await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+
+    async def _use(self, address: str, link: peer_links.Link) -> None:
+        self.links[address] = link
+        try:
+            await self._on_link(link)
+        finally:
+            if self.links.get(address) is link:
+                del self.links[address]
+            await link.close()
+
+
+class MemoryNetwork:
+    """Connects processes by address with in-memory links.
+
+    Attributes:
+      latency_s: One-way delay of new links in seconds.
+      links: All ends ever created that are still open.
+      metered: Whether new links count bytes.
+    """
+
+    __slots__ = ("_blocked", "_servers", "_tasks", "latency_s", "links",
+                 "metered")  # fmt: skip
+
+    def __init__(self, latency_s: float = 0.0005) -> None:
+        self.latency_s = latency_s
+        self.links: list[peer_links.MemoryLink] = []
+        self.metered = False
+        self._blocked: set[str] = set()
+        self._servers: dict[str, tuple[messages.Hello, peer_links.OnLink]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def serve(
+        self, address: str, hello: messages.Hello, on_link: peer_links.OnLink
+    ) -> None:
+        """Listens on an address."""
+        self._servers[address] = (hello, on_link)
+
+    def stop(self, address: str) -> None:
+        """Stops listening; present links remain."""
+        self._servers.pop(address, None)
+
+    def connector(self, hello: messages.Hello) -> peer_links.Connect:
+        """Returns the function with which a process connects to others."""
+
+        async def connect(address: str) -> peer_links.Link | errors.Failure:
+            await asyncio.sleep(self.latency_s)
+            names = {hello.instance}
+            if address in self._servers:
+                names.add(self._servers[address][0].instance)
+            if address not in self._servers or names & self._blocked:
+                return errors.Failure(
+                    errors.Reason.CONNECT_FAILED, errors.Step.CONNECT, address
+                )
+            served, on_link = self._servers[address]
+            near, far = peer_links.MemoryLink.pair(
+                hello, served, self.latency_s
+            )
+            near.metered = far.metered = self.metered
+            self.links = [x for x in self.links if not x.closed] + [near, far]
+            task = asyncio.create_task(self._run(far, on_link))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return near
+
+        return connect
+
+    async def _run(
+        self, link: peer_links.Link, on_link: peer_links.OnLink
+    ) -> None:
+        try:
+            await on_link(link)
+        finally:
+            await link.close()
+
+    def isolate(self, instance: str) -> None:
+        """Silently drops all traffic of an instance (a partition)."""
+        self._blocked.add(instance)
+        self._apply()
+
+    def heal(self, instance: str) -> None:
+        """Ends `isolate`."""
+        self._blocked.discard(instance)
+        self._apply()
+
+    def _apply(self) -> None:
+        for link in self.links:
+            link.drop = bool(
+                {link.peer.instance, link._other.peer.instance} & self._blocked
+            )
+
+    def cut(self, instance: str) -> None:
+        """Breaks all present links of an instance."""
+        for link in self.links:
+            if link.peer.instance == instance:
+                link.cut()
