--- /dev/null
+++ b/carobsail/membership.py
@@ -0,0 +1,237 @@
+"""Which processes of a data centre are alive, ready or leaving.
+
+Combines heartbeats with the platform's inventory, which lags behind.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+from carobsail import inventory, messages
+
+HEARTBEAT_INTERVAL_S = 0.5
+# Period of `Membership.tick`.
+TICK_S = 0.25
+# With one tick on top, a dead process is noticed within 2 s.
+DEAD_AFTER_S = 1.6
+# A tick later than this is counted as lag of the own loop.
+LAG_TOLERANCE_S = 0.05
+# The platform's list lags; an unlisted process is used for this long.
+UNLISTED_GRACE_S = 60.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Process:
+    """A process: its instance and its role (`entry` or `control`)."""
+
+    instance: str
+    role: str
+
+
+class Event(enum.StrEnum):
+    """What happened to a member."""
+
+    JOINED = "joined"
+    READY = "ready"
+    LEAVING = "leaving"
+    DIED = "died"
+    RESTARTED = "restarted"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Change:
+    """An event of one process."""
+
+    process: Process
+    event: Event
+
+
+@dataclasses.dataclass(slots=True)
+class _Member:
+    incarnation: int
+    heard_at: float
+    seq: int
+    ready: bool = False
+    leaving: bool = False
+    alive: bool = True
+    unlisted_since: float | None = None
+
+
+class Membership:
+    """View of the processes in one data centre."""
+
+    __slots__ = ("_listed", "_members", "_ticked_at")
+
+    def __init__(self) -> None:
+        self._members: dict[Process, _Member] = {}
+        self._listed: dict[str, inventory.State] | None = None
+        self._ticked_at: float | None = None
+
+    def heard(
+        self,
+        process: Process,
+        incarnation: int,
+        beat: messages.Heartbeat,
+        now: float,
+    ) -> list[Change]:
+        """Records a heartbeat.
+
+        Args:
+          process: Sender.
+          incarnation: Incarnation in the Hello of the sender's link.
+          beat: The heartbeat.
+          now: Loop time in seconds.
+
+        Returns:
+          The changes that follow.
+        """
+        changes = []
+        member = self._members.get(process)
+        if member is None or not member.alive:
+            changes.append(Change(process, Event.JOINED))
+            member = None
+        elif member.incarnation != incarnation:
+            if incarnation < member.incarnation:
+                return []  # A message of the predecessor, delivered late.
+            changes.append(Change(process, Event.RESTARTED))
+            member = None
+        elif beat.seq <= member.seq:
+            return []
+        if member is None:
+            member = _Member(incarnation, now, beat.seq)
+            member.unlisted_since = self._unlisted_since(process, now)
+            self._members[process] = member
+        if beat.ready and not member.ready:
+            changes.append(Change(process, Event.READY))
+        if beat.leaving and not member.leaving:
+            changes.append(Change(process, Event.LEAVING))
+        member.heard_at = now
+        member.seq = beat.seq
+        member.ready = beat.ready
+        member.leaving = member.leaving or beat.leaving
+        return changes
+
+    def _unlisted_since(self, process: Process, now: float) -> float | None:
+        if self._listed is None or process.instance in self._listed:
+            return None
+        return now
+
+    def listed(
+        self, states: Mapping[str, inventory.State], now: float
+    ) -> list[Change]:
+        """Takes over the platform's list of the data centre's instances.
+
+        Args:
+          states: State by instance name.
+          now: Loop time in seconds.
+
+        Returns:
+          A LEAVING change for each member newly listed as leaving.
+        """
+        before = self._listed or {}
+        self._listed = dict(states)
+        for process, member in self._members.items():
+            if process.instance in self._listed:
+                member.unlisted_since = None
+            elif member.unlisted_since is None:
+                member.unlisted_since = now
+        leaving = inventory.State.LEAVING
+        return [
+            Change(process, Event.LEAVING)
+            for process, member in self._members.items()
+            if self._listed.get(process.instance) == leaving
+            and before.get(process.instance) != leaving
+            and not member.leaving
+        ]
+
+    def tick(self, now: float) -> list[Change]:
+        """Finds dead processes; to be called every `TICK_S` seconds.
+
+        The time by which this call is late is not counted against peers,
+        whose heartbeats may wait unread in the same late loop.
+
+        Args:
+          now: Loop time in seconds.
+
+        Returns:
+          A DIED change for each process found dead.
+        """
+        if self._ticked_at is not None:
+            late_s = now - self._ticked_at - TICK_S
+            if late_s > LAG_TOLERANCE_S:
+                for member in self._members.values():
+                    member.heard_at = min(now, member.heard_at + late_s)
+        self._ticked_at = now
+        changes = []
+        for process, member in self._members.items():
+            if member.alive and now - member.heard_at > DEAD_AFTER_S:
+                member.alive = False
+                changes.append(Change(process, Event.DIED))
+        for process in self._forgettable(now):
+            del self._members[process]
+        return changes
+
+    def _forgettable(self, now: float) -> list[Process]:
+        return [
+            process
+            for process, member in self._members.items()
+            if not member.alive and now - member.heard_at > UNLISTED_GRACE_S
+        ]
+
+    def alive(self, process: Process) -> bool:
+        """Tells whether the process was heard recently."""
+        member = self._members.get(process)
+        return member is not None and member.alive
+
+    def leaving(self, process: Process) -> bool:
+        """Tells whether the process or the platform announced its end."""
+        member = self._members.get(process)
+        listed = (self._listed or {}).get(process.instance)
+        return listed == inventory.State.LEAVING or (
+            member is not None and member.leaving
+        )
+
+    def members(self, role: str | None = None) -> list[Process]:
+        """Returns the processes heard recently, leaving ones included."""
+        return sorted(
+            process
+            for process, member in self._members.items()
+            if member.alive and role in (None, process.role)
+        )
+
+    def usable(self, role: str, now: float) -> list[str]:
+        """Returns the instances whose process may get new work, sorted.
+
+        Args:
+          role: Role of the process.
+          now: Loop time in seconds.
+
+        Returns:
+          Names of instances that are alive, ready, not leaving and listed,
+          or not listed for less than `UNLISTED_GRACE_S`.
+        """
+        return [
+            process.instance
+            for process in self.members(role)
+            if self._members[process].ready
+            and not self.leaving(process)
+            and self._accepted(self._members[process], now)
+        ]
+
+    def _accepted(self, member: _Member, now: float) -> bool:
+        since = member.unlisted_since
+        return since is None or now - since < UNLISTED_GRACE_S
+
+    def required(self) -> set[Process]:
+        """Returns the processes that must confirm a configuration.
+
+        These are all members, and all processes that the platform lists as
+        live even when they are silent here.
+        """
+        listed = {
+            Process(name, role)
+            for name, state in (self._listed or {}).items()
+            if state == inventory.State.LIVE
+            for role in ("entry", "control")
+        }
+        return listed | set(self.members())
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -232,12 +232,27 @@
 
 
 class Heartbeat(Message, tag="heartbeat", frozen=True):
-    """Sent every 0.5 s on each link in a data centre."""
+    """Sent every 0.5 s on each link in a data centre.
+
+    Attributes:
+      seq: Number of the heartbeat, increasing over the sender's lifetime.
+      ready: Whether the sender takes work.
+      leaving: Whether the sender is shutting down.
+      revision: Configuration revision applied by the sender.
+      leading: Whether the sender holds a valid leader lease.
+      candidates: Control processes that the leader knows of.
+      epoch: Epoch of the last grant received.
+      grant_version: Version of the last grant received.
+    """
 
     seq: int
     ready: bool
     leaving: bool
     revision: int
+    leading: bool = False
+    candidates: int = 0
+    epoch: int = 0
+    grant_version: int = 0
 
 
 class Grant(Message, tag="grant", frozen=True):
@@ -252,6 +267,7 @@
       calls_per_s: Receiver's share of the key-value call budget.
       sent_seq: Sequence number of the receiver's heartbeat that this grant
         answers; its validity counts from when that heartbeat was sent.
+      version: Number of the contents within the epoch.
     """
 
     epoch: int
@@ -261,6 +277,28 @@
     orders_allowed: bool
     calls_per_s: float
     sent_seq: int
+    version: int = 0
+
+
+class Renewal(Message, tag="renewal", frozen=True):
+    """Extends the grant with the same epoch and version.
+
+    The target lists of a large data centre are too long to repeat every
+    second; a receiver that holds another grant ignores the renewal.
+    """
+
+    epoch: int
+    version: int
+    expires_in_s: float
+    orders_allowed: bool
+    calls_per_s: float
+    sent_seq: int
+
+
+class HandBack(Message, tag="hand_back", frozen=True):
+    """A leaving owner sends no more orders under grants up to `epoch`."""
+
+    epoch: int
 
 
 class Snapshot(Message, tag="snapshot", frozen=True):
@@ -290,6 +328,13 @@
     revision: int
 
 
+class Residency(Message, tag="residency", frozen=True):
+    """Resident copies of each model in another data centre."""
+
+    data_centre: str
+    models: dict[str, int]
+
+
 class InventoryUpdate(Message, tag="inventory", frozen=True):
     """The platform's inventory document, relayed by the leader."""
 
@@ -351,6 +396,9 @@
     | Settled
     | Heartbeat
     | Grant
+    | Renewal
+    | HandBack
+    | Residency
     | Snapshot
     | Delta
     | Resync
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,170 @@
+"""Guards the assignment of targets and the expiry of grants."""
+
+import math
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobsail import keyvalue, messages, ownership
+from tests.builders_coordination import run_virtual
+
+TARGETS = [f"t{n}" for n in range(40)]
+FIVE = [f"i{n}" for n in range(5)]
+
+
+def beat(seq=1, epoch=0, version=0):
+    return messages.Heartbeat(
+        seq, True, False, 0, epoch=epoch, grant_version=version
+    )
+
+
+def granted_book(now=0.0):
+    book = ownership.OwnershipBook()
+    book.take_over(0, {}, now)
+    book.adopt(1, book.propose(TARGETS, FIVE, now))
+    for name in FIVE:
+        book.grant(name, beat(), now, True, 1.0)
+    return book
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.sets(st.integers(0, 11), min_size=1), st.sets(st.integers(0, 11)))
+def test_only_targets_of_lost_instances_move(first, lost):
+    """Needless moves interrupt orders; piling up overloads one (R1, R10)."""
+    before_names = [f"i{n}" for n in sorted(first)]
+    after_names = [n for n in before_names if int(n[1:]) not in lost]
+    before = ownership.assign(TARGETS, before_names, {})
+    after = ownership.assign(TARGETS, after_names, before)
+    for target, owner in after.items():
+        if before[target] in after_names:
+            assert owner == before[target]
+    if after_names:
+        assert set(after) == set(TARGETS)
+        bound = math.ceil(1.25 * len(TARGETS) / len(after_names))
+        owners = list(after.values())
+        assert all(owners.count(name) <= bound for name in after_names)
+
+
+def test_dead_owners_targets_wait_for_its_grant():
+    """An owner that cannot be reached may still order until expiry (R1)."""
+    book = granted_book()
+    dead, alive = FIVE[0], FIVE[1:]
+    owned = {t for t, o in book.owners.items() if o == dead}
+    book.grant(dead, beat(2, 1, 0), 1.0, True, 1.0)
+    for now in (2.9, 4.9):
+        assert book.propose(TARGETS, alive, now) is None
+    moved = book.propose(TARGETS, alive, 5.0)
+    assert {t for t, o in book.owners.items() if moved[t] != o} == owned
+
+
+def test_new_leader_waits_out_grants_of_its_predecessor():
+    """The predecessor's last grant is unknown to a new leader (R1)."""
+    book = ownership.OwnershipBook()
+    book.take_over(7, dict.fromkeys(TARGETS, "gone"), 100.0)
+    assert book.propose(TARGETS, FIVE, 103.9) is None
+    assert book.propose(TARGETS, FIVE, 104.0) is not None
+
+
+def test_leaving_owner_hands_back_early():
+    """A planned stop must not leave targets unowned for 4 s (R7)."""
+    book = granted_book()
+    leaving, rest = FIVE[0], FIVE[1:]
+    assert book.propose(TARGETS, rest, 0.1) is None
+    book.handed_back(leaving, 1)
+    moved = book.propose(TARGETS, rest, 0.1)
+    assert leaving not in moved.values()
+    assert book.grant(leaving, beat(3, 1, 0), 0.1, True, 1.0) is None
+    book.adopt(2, moved)
+    grant = book.grant(rest[0], beat(2, 1, 0), 0.2, True, 1.0)
+    assert set(grant.targets) == {t for t, o in moved.items() if o == rest[0]}
+
+
+def test_withheld_target_is_not_granted():
+    """A target on the move must not be renewed to its old owner (R1)."""
+    book = granted_book()
+    names = [*FIVE, *(f"j{n}" for n in range(20))]
+    assert book.propose(TARGETS, names, 0.1) is None
+    granted = [
+        target
+        for name in FIVE
+        for target in book.grant(name, beat(2, 1, 0), 0.1, True, 1.0).targets
+    ]
+    moved = book.propose(TARGETS, names, 4.1)
+    assert set(granted) == {t for t in TARGETS if moved[t] in FIVE}
+    assert len(granted) <= 5 * math.ceil(1.25 * len(TARGETS) / len(names))
+
+
+def test_substitutes_serve_without_a_new_epoch():
+    """An outage must not leave a dead owner's targets unserved (R13)."""
+    book = granted_book()
+    book.substitute(FIVE[1:])
+    grants = [book.grant(n, beat(2, 1, 0), 1.0, False, 1.0) for n in FIVE[1:]]
+    assert sorted(t for g in grants for t in g.targets) == sorted(TARGETS)
+    assert {g.epoch for g in grants} == {1}
+    holder = ownership.GrantHolder()
+    holder.heartbeat_sent(2, 1.0)
+    assert holder.receive(grants[0])
+    assert holder.owns(grants[0].targets[0], 1.1)
+    assert not holder.may_order(1.1)
+
+
+def test_grant_counts_from_own_heartbeat():
+    """A delayed grant must not extend the right to order (R1)."""
+    book = granted_book()
+    name = FIVE[0]
+    holder = ownership.GrantHolder()
+    holder.heartbeat_sent(1, 10.0)
+    grant = book.grant(name, beat(1), 10.5, True, 1.0)
+    assert holder.receive(grant)
+    assert holder.may_order(12.9)
+    assert not holder.may_order(13.0)
+    assert not holder.owns(grant.targets[0], 13.0)
+    assert holder.assigned(grant.targets[0])
+    unknown = book.grant(name, beat(99, 1, 0), 20.0, True, 1.0)
+    assert isinstance(unknown, messages.Renewal)
+    assert not holder.receive(unknown)
+    holder.heartbeat_sent(30, 20.0)
+    renewal = book.grant(name, beat(30, 1, 0), 21.0, True, 1.0)
+    assert holder.receive(renewal)
+    assert holder.may_order(22.9)
+    assert holder.hand_back() == messages.HandBack(1)
+    assert not holder.receive(renewal)
+    assert not holder.valid(20.1)
+
+
+def test_outdated_grant_is_ignored():
+    """Two leaders believing in themselves must not both be obeyed (R1)."""
+    holder = ownership.GrantHolder()
+    holder.heartbeat_sent(1, 0.0)
+    new = messages.Grant(5, 3.0, ["a"], {"a": "i"}, True, 1.0, 1)
+    old = messages.Grant(4, 3.0, ["b"], {"b": "i"}, True, 1.0, 1, 9)
+    assert holder.receive(new)
+    assert not holder.receive(old)
+    assert not holder.owns("b", 0.1)
+    assert not holder.receive(messages.Renewal(4, 9, 3.0, True, 1.0, 1))
+
+
+def test_store_reads_back_lost_answers_and_fences():
+    """A lost answer must not double an epoch; deposed leaders must fail."""
+
+    async def scenario():
+        service = keyvalue.MemoryKeyValue()
+        await service.transact([], [keyvalue.Put("leader", b"x")])
+        leader = keyvalue.Compare("leader", 2)
+        first, second = (
+            ownership.OwnershipStore("dc", service, random.Random(seed))
+            for seed in (1, 2)
+        )
+        assert (await first.load()).epoch == 0
+        await second.load()
+        service.lose_answers = 1
+        assert await first.store(1, {"t": "a"}, leader) is None
+        assert await first.store(2, {"t": "b"}, leader) is None
+        assert await second.store(1, {"t": "c"}, leader) is not None
+        assert (await second.load()).owners == {"t": "b"}
+        await service.transact([], [keyvalue.Put("leader", b"y")])
+        assert await second.store(3, {"t": "c"}, leader) is not None
+        assert (await first.load()).epoch == 2
+
+    run_virtual(scenario())
