Add configuration relay

Configuration changes must reach every process within seconds without a message for each change and without ever reverting. The leader remembers the revision of the last change of each key, so one Delta covers any gap it remembers; receivers apply only increasing revisions. Confirmation counts all processes listed as live and is written with a compare on the leader key.

In tests/test_relay.py 1000 changes within one second make 9 to 11 messages to a process; 150 random interleavings of losses, restarts and new leaders converge.

--- a/carobsail/leadership.py
+++ b/carobsail/leadership.py
@@ -69,6 +69,7 @@
         "_lease",
         "_on_change",
         "_rng",
+        "_started_at",
         "_stopping",
         "_valid_until",
         "_value",
@@ -102,6 +103,7 @@
         self._valid_until = float("-inf")
         self._heard_at = float("-inf")
         self._backoff_s = FIRST_BACKOFF_S
+        self._started_at = float("-inf")
         self._stopping = False
         self._vacated = asyncio.Event()
 
@@ -116,6 +118,10 @@
             and now < self._valid_until - STOP_BEFORE_EXPIRY_S
         )
 
+    def leads(self, now: float) -> bool:
+        """Tells whether the lease is valid at `now` (loop seconds)."""
+        return self.role == Role.LEADER and now < self._valid_until
+
     def leader_heard(self, now: float, leaving: bool = False) -> None:
         """Records a heartbeat of another process that leads.
 
@@ -139,6 +145,7 @@
     async def run(self) -> None:
         """Campaigns and renews until cancelled or handed over."""
         loop = asyncio.get_running_loop()
+        self._started_at = loop.time()
         # All candidates may start together.
         await asyncio.sleep(self._spread_s())
         while not self._stopping:
@@ -198,14 +205,21 @@
         if holder is not None:
             if self.role == Role.FROZEN:
                 self._change(Role.FOLLOWER)
-            # The key disappears when the silent leader's lease ends.
-            await asyncio.sleep(0.25 + self._spread_s())
+            await self._await_expiry(loop)
             return
         if loop.time() - self._heard_at < LEADER_SILENT_S:
             return
         if isinstance(await self._acquire(loop), errors.Failure):
             await self._back_off()
 
+    async def _await_expiry(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Waits before the key of a silent leader is read again."""
+        await asyncio.sleep(0.25 + self._spread_s())
+        silent_s = loop.time() - max(self._heard_at, self._started_at)
+        if silent_s > LEASE_TTL_S + LEADER_SILENT_S:
+            # That leader renews and is only out of reach of this process.
+            await asyncio.sleep(MAX_BACKOFF_S * self._rng.uniform(0.5, 1.0))
+
     async def _resume(
         self, loop: asyncio.AbstractEventLoop, found: keyvalue.KeyValue
     ) -> None:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,159 @@
+"""Guards the configuration fan-out."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobsail import keyvalue, messages, relay
+from carobsail.membership import Process
+from tests.builders_coordination import run_virtual
+
+A, B = Process("a", "entry"), Process("b", "entry")
+
+
+def change(revision, key="k", value=b"v"):
+    return keyvalue.WatchEvent(key, value, revision)
+
+
+def delivered(source, process, state, now):
+    message = source.due(process, now)
+    if message is None:
+        return None
+    source.sent(process, now)
+    answer = state.receive(message)
+    if isinstance(answer, messages.Applied):
+        source.heard(process, answer.revision)
+    elif isinstance(answer, messages.Resync):
+        source.resync(process, answer.revision)
+    return message
+
+
+def leader(revision=1, documents=None):
+    source = relay.Relay(relay.ConfigurationState())
+    source.load(revision, documents or {})
+    return source
+
+
+@settings(derandomize=True, max_examples=150)
+@given(st.lists(st.integers(0, 9), max_size=60), st.integers(0, 1000))
+def test_any_interleaving_converges_without_going_back(steps, seed):
+    """Lost messages, restarts and new leaders must not revert (R8)."""
+    rng = random.Random(seed)
+    content, revision, now = {}, 1, 0.0
+    source, state = leader(), relay.ConfigurationState()
+    history = {1: {}}
+    for step in steps:
+        now += rng.choice([0.05, 0.2, 4.0])
+        before = state.revision
+        if step < 4:
+            revision += rng.randint(1, 3)
+            key = f"k{rng.randint(0, 3)}"
+            value = rng.choice([None, b"%d" % revision])
+            content = {**content, key: value}
+            content = {k: v for k, v in content.items() if v is not None}
+            history[revision] = content
+            source.record([change(revision, key, value)])
+        elif step == 4:
+            source = relay.Relay(state)
+            source.load(revision, content)
+            history[revision] = content
+        elif step == 5:
+            state, before = relay.ConfigurationState(), 0
+        elif step == 6 and source.due(A, now):
+            source.sent(A, now)
+        else:
+            source.heard(A, state.revision)
+            delivered(source, A, state, now)
+        assert state.revision >= before
+        assert state.revision == 0 or state.documents == history[state.revision]
+    source.resync(A, state.revision)
+    delivered(source, A, state, now + 5)
+    assert (state.revision, state.documents) == (revision, content)
+    assert state.fresh
+
+
+def test_burst_is_coalesced():
+    """A thousand changes must not make a thousand messages (R17)."""
+    source, state = leader(), relay.ConfigurationState()
+    source.heard(A, 0)
+    sent = []
+    for n in range(1000):
+        source.record([change(2 + n, f"k{n % 50}", b"%d" % n)])
+        sent.append(delivered(source, A, state, n / 1000))
+    sent = [message for message in sent if message]
+    assert 9 <= len(sent) <= 11
+    delivered(source, A, state, 2.0)
+    assert state.documents == source.documents
+
+
+def test_gap_is_resynchronised_and_old_is_ignored():
+    """A receiver must neither skip changes nor go back (R8)."""
+    state = relay.ConfigurationState()
+    state.receive(messages.Snapshot(5, {"k": b"5"}))
+    assert state.receive(messages.Delta(7, 9, {})) == messages.Resync(5)
+    assert state.receive(messages.Snapshot(4, {})) is None
+    assert state.receive(messages.Delta(3, 4, {"k": b"4"})) is None
+    assert state.documents == {"k": b"5"}
+    overlap = messages.Delta(4, 8, {"k": b"8"})
+    assert state.receive(overlap) == messages.Applied(8)
+
+
+def test_new_or_woken_instance_needs_the_leader():
+    """A stale instance that is ready would use old limits (R8)."""
+    source, state = leader(3, {"k": b"v"}), relay.ConfigurationState()
+    source.heard(A, 0)
+    assert not state.fresh
+    delivered(source, A, state, 0.0)
+    assert state.fresh
+    assert source.due(A, 1.0) is None
+    resync = state.expire()
+    assert not state.fresh
+    source.resync(A, resync.revision)
+    assert delivered(source, A, state, 2.0) == messages.Delta(3, 3, {})
+    assert state.fresh
+
+
+def test_confirmation_needs_every_required_process():
+    """Accepted must mean in force everywhere (R8)."""
+    source = leader(4)
+    source.heard(A, 4)
+    assert source.confirmed([A]) == 4
+    assert source.confirmed([A, B]) == 0
+    source.heard(B, 3)
+    assert source.confirmed([A, B]) == 3
+
+
+def test_new_leader_sends_deletions():
+    """A document deleted during an election must not survive (R8)."""
+    own = relay.ConfigurationState()
+    own.receive(messages.Snapshot(5, {"old": b"1", "kept": b"2"}))
+    source = relay.Relay(own)
+    source.load(9, {"kept": b"2"})
+    source.heard(A, 5)
+    assert source.due(A, 0.0) == messages.Delta(5, 9, {"old": None})
+    source.heard(B, 3)
+    assert isinstance(source.due(B, 0.0), messages.Snapshot)
+
+
+def test_applied_is_fenced_and_never_decreases():
+    """A deposed leader must not report acceptance (R8)."""
+
+    async def scenario():
+        service = keyvalue.MemoryKeyValue()
+        await service.transact([], [keyvalue.Put("leader", b"x")])
+        writer = relay.AppliedWriter("dc", service)
+        compare = keyvalue.Compare("leader", 2)
+        assert await writer.publish(9, compare, 0.0) is None
+        await writer.load()
+        assert await writer.publish(9, compare, 0.0) is None
+        assert await writer.publish(10, compare, 0.5) is None
+        other = relay.AppliedWriter("dc", service)
+        await other.load()
+        await other.publish(8, compare, 1.0)
+        stale = keyvalue.Compare("leader", 1)
+        assert await other.publish(11, stale, 2.0) is not None
+        stored = await service.range("/carobsail/dc/dc/applied")
+        assert stored.values[0].value == b'{"revision":9}'
+
+    run_virtual(scenario())
