--- /dev/null
+++ b/tests/test_eventstream.py
@@ -0,0 +1,32 @@
+"""Guards the position in a stream of server-sent events (R3)."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobsail import eventstream
+
+STREAM = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 30))
+DONE = b"data: [DONE]\n\n"
+
+
+@settings(derandomize=True, max_examples=200)
+@given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_any_split_gives_the_same_bytes_and_position(cuts):
+    """A read boundary inside an event must not lose or double a token."""
+    cursor = eventstream.EventCursor()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    received = b""
+    for start, end in zip(edges, edges[1:], strict=False):
+        received += cursor.feed(STREAM[start:end])
+        whole = received.count(b"\n\n")
+        assert cursor.last_event() == (str(whole) if whole else "")
+    assert received == STREAM
+
+
+def test_done_event_without_identifier_keeps_the_position():
+    """The final event has no identifier; a resume still needs one."""
+    cursor = eventstream.EventCursor()
+    cursor.feed(STREAM)
+    cursor.feed(DONE)
+    assert cursor.finished
+    assert cursor.last_event() == "29"
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,57 @@
+"""Guards the checks of callers' requests."""
+
+import json
+
+import pytest
+
+from carobsail import errors, requests
+from tests import builders
+
+
+@pytest.mark.parametrize(
+    ("arguments", "reason", "status"),
+    [
+        ({"path": "/nowhere"}, errors.Reason.UNKNOWN_PATH, 404),
+        ({"body": b"{"}, errors.Reason.BAD_REQUEST, 400),
+        ({"body": b'{"model": "none"}'}, errors.Reason.UNKNOWN_MODEL, 404),
+        ({"x_deadline_ms": "-1"}, errors.Reason.BAD_REQUEST, 400),
+        ({"x_deadline_ms": "0"}, errors.Reason.BAD_REQUEST, 400),
+        ({"idempotency_key": "k" * 256}, errors.Reason.BAD_REQUEST, 400),
+        (
+            {"path": "/services/desk/bookings"},
+            errors.Reason.KEY_REQUIRED,
+            400,
+        ),
+    ],
+)
+def test_bad_input_is_refused_as_not_run(arguments, reason, status):
+    """R4: bad input gets one clear line and is not sent on."""
+    failure = builders.build_request(**arguments)
+    assert failure.reason is reason
+    assert failure.outcome is errors.Outcome.NOT_RUN
+    code, headers, body = requests.error_answer(failure)
+    assert code == status
+    assert ("x-outcome", "not_run") in headers
+    error = json.loads(body)["error"]
+    assert error["code"] == reason
+    assert error["step"] == "read"
+    assert error["peer"] == "caller"
+
+
+def test_adapter_is_resolved_to_its_model():
+    """R2: callers name an adapter as the model."""
+    request = builders.build_request(body=b'{"model": "draft-fancy"}')
+    assert (request.model, request.adapter) == ("draft", "draft-fancy")
+
+
+def test_callers_may_only_shorten_the_deadline():
+    """A caller must not stretch the deadline of its client account."""
+    assert builders.build_request(x_deadline_ms="500").due_s == 0.5
+    assert builders.build_request(x_deadline_ms="99999").due_s == 2.0
+
+
+def test_fingerprint_separates_adapters():
+    """A crash of one adapter must not put another under suspicion."""
+    first = requests.fingerprint(b"{}", "m", "a", "/p")
+    assert first != requests.fingerprint(b"{}", "m", "b", "/p")
+    assert first == requests.fingerprint(b"{}", "m", "a", "/p")
