--- /dev/null
+++ b/carobsail/settings.py
@@ -0,0 +1,138 @@
+"""Settings of the programs: JSON with comments, checked against a type."""
+
+import ipaddress
+import json
+import pathlib
+import re
+from typing import Any, TypeVar
+
+import jsonc
+import msgspec
+
+T = TypeVar("T")
+
+_LOCATION = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>.*)`)?$", re.S)
+_FIELD = re.compile(r"field `(?P<field>[^`]*)`")
+
+
+class SettingsError(ValueError):
+    """A settings file is unusable; the message is one line for people."""
+
+
+def load(path: str | pathlib.Path, type: type[T]) -> T:
+    """Reads and checks a settings file.
+
+    Args:
+      path: A file of JSON with comments.
+      type: Frozen msgspec struct that describes the settings.
+
+    Returns:
+      The settings.
+
+    Raises:
+      SettingsError: The file is unreadable or a value is out of its bounds.
+    """
+    path = pathlib.Path(path)
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise SettingsError(f"{path.name}: {reason}") from error
+    return parse(path.name, data, type)
+
+
+def parse(name: str, data: bytes, type: type[T]) -> T:
+    """Checks the bytes of a document; `name` stands in error messages."""
+    try:
+        plain = parse_plain(data)
+    except ValueError as error:
+        raise SettingsError(f"{name}: {error}") from error
+    return convert(name, plain, type)
+
+
+def parse_plain(data: bytes) -> Any:
+    """Reads JSON with comments into plain values.
+
+    Raises:
+      ValueError: Malformed, a repeated key, or a number that is not finite.
+    """
+    try:
+        return jsonc.loads(
+            data.decode(),
+            object_pairs_hook=_unique,
+            parse_constant=_refuse_constant,
+        )
+    except json.JSONDecodeError as error:
+        raise ValueError(
+            f"line {error.lineno}: {error.msg[:1].lower()}{error.msg[1:]}"
+        ) from error
+    except UnicodeDecodeError as error:
+        raise ValueError(f"byte {error.start}: not UTF-8") from error
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+
+
+def convert(name: str, plain: Any, type: type[T]) -> T:
+    """Checks plain values against a type.
+
+    Raises:
+      SettingsError: A value has the wrong type or is out of its bounds.
+    """
+    try:
+        return msgspec.convert(plain, type)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{name}: {describe(error)}") from error
+
+
+def describe(error: msgspec.ValidationError) -> str:
+    """Returns `"key": problem` for an error of msgspec."""
+    match = _LOCATION.match(str(error))
+    assert match is not None  # The pattern matches any text.
+    path = (match["path"] or "").lstrip(".")
+    problem = match["problem"]
+    field = _FIELD.search(problem)
+    if problem.startswith("Object") and field is not None:
+        path = f"{path}.{field['field']}".lstrip(".")
+        unknown = "unknown" in problem
+        problem = "unknown key" if unknown else "required key is missing"
+    problem = problem.replace("`", "")
+    problem = problem[:1].lower() + problem[1:]
+    return f'"{path}": {problem}' if path else problem
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits `127.0.0.1:80` or `[::1]:80` into IP address and port.
+
+    Raises:
+      ValueError: Not an IP address and a port from 1 to 65535.
+    """
+    host, separator, port = address.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        separator = ""
+    try:
+        ipaddress.ip_address(host)
+        valid = bool(separator) and port.isdecimal() and port.isascii()
+    except ValueError:
+        valid = False
+    if not valid or not 1 <= int(port) <= 65535:
+        raise ValueError(
+            f"{address!r}: expected an IP address and a port, as in"
+            " 127.0.0.1:80, port >= 1 and <= 65535"
+        )
+    return host, int(port)
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Rejects repeated keys, of which JSON would keep the last silently."""
+    found: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f'"{key}": key occurs twice')
+        found[key] = value
+    return found
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f"{text}: expected a finite number")
