Add templates, rendering and the configuration set

Operators change policies only through templates and parameters, so a policy is now rendered from a template and a client account, with one line per error that names document, key and bound. ConfigurationSet renders only the accounts that a change touches, keeps the last good policy of a bad document and authenticates access keys by digest.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module has `run() -> list[dict]`."""
--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,112 @@
+"""Measures the cost of one client account's change, and the memory."""
+
+import hashlib
+import json
+import statistics
+import time
+import tracemalloc
+from typing import Any
+
+from carobsail import configuration
+
+SIZES = (1000, 2000, 4000, 8000)
+CHANGES = 40
+TEMPLATES = 10
+
+
+def _template(name: str) -> dict[str, Any]:
+    operations: list[dict[str, Any]] = [
+        {"path": f"/v1/operation-{i}", "due_ms": {"$param": "due_ms"}}
+        for i in range(5)
+    ]
+    return {
+        "kind": "template",
+        "name": name,
+        "parameters": [
+            {"name": "due_ms", "type": "integer", "default": 2000},
+            {"name": "models", "type": "list", "required": True},
+        ],
+        "account": {
+            "models": {"$param": "models"},
+            "adapters": ["clerk"],
+            "operations": operations,
+        },
+    }
+
+
+def _account(i: int, due_ms: int) -> bytes:
+    key_hash = hashlib.sha256(str(i).encode()).hexdigest()
+    return json.dumps(
+        {
+            "kind": "account",
+            "name": f"account-{i}",
+            "template": f"template-{i % TEMPLATES}",
+            "parameters": {"models": ["m1", "m2"], "due_ms": due_ms},
+            "key_hashes": [key_hash],
+        }
+    ).encode()
+
+
+def _documents(accounts: int) -> dict[str, bytes]:
+    found = {
+        f"{configuration.TEMPLATES}template-{i}": json.dumps(
+            _template(f"template-{i}")
+        ).encode()
+        for i in range(TEMPLATES)
+    }
+    for i in range(accounts):
+        key = f"{configuration.ACCOUNTS}account-{i}"
+        found[key] = _account(i, 1000 + i)
+    return found
+
+
+def _apply(
+    base: configuration.ConfigurationSet,
+    revision: int,
+    changes: dict[str, bytes | None],
+) -> configuration.ConfigurationSet:
+    result = base.with_documents(revision, changes)
+    assert isinstance(result, configuration.ConfigurationSet)
+    assert not result.failures
+    return result
+
+
+def measure(accounts: int) -> dict[str, Any]:
+    """Measures one number of accounts."""
+    documents: dict[str, bytes | None] = {**_documents(accounts)}
+    start = time.perf_counter()
+    built = _apply(configuration.ConfigurationSet(), 1, documents)
+    full_s = time.perf_counter() - start
+    times_ms = []
+    for i in range(CHANGES):
+        key = f"{configuration.ACCOUNTS}account-{i}"
+        start = time.perf_counter()
+        built = _apply(built, 2 + i, {key: _account(i, 900)})
+        times_ms.append((time.perf_counter() - start) * 1000)
+    start = time.perf_counter()
+    for _ in range(1000):
+        built.authenticate(str(accounts - 1))
+    authenticate_us = (time.perf_counter() - start) * 1000
+    del built
+    tracemalloc.start()
+    kept = _apply(configuration.ConfigurationSet(), 1, documents)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        "accounts": len(kept.accounts),
+        "full_ms": round(full_s * 1000, 1),
+        "change_median_ms": round(statistics.median(times_ms), 3),
+        "change_max_ms": round(max(times_ms), 3),
+        "authenticate_us": round(authenticate_us, 2),
+        "bytes_per_account": round(memory / accounts),
+    }
+
+
+def run() -> list[dict[str, Any]]:
+    """Measures all sizes."""
+    return [measure(accounts) for accounts in SIZES]
+
+
+if __name__ == "__main__":
+    for row in run():
+        print(json.dumps(row))
--- a/carobsail/configuration.py
+++ b/carobsail/configuration.py
@@ -1,74 +1,325 @@
-"""Client accounts, templates and the policies rendered from them."""
+"""The configuration at one revision: documents, policies and access keys."""
 
-from typing import Annotated
+import hashlib
+import hmac
+from collections.abc import Iterable, Mapping
 
-import msgspec
+from carobsail import errors, inventory
+from carobsail.policies import (
+    DueMs,
+    Limits,
+    Operation,
+    Policy,
+    Rate,
+    Size,
+)
+from carobsail.templates import (
+    ACCOUNTS,
+    MAX_DOCUMENT_BYTES,
+    PREFIX,
+    TEMPLATES,
+    ClientAccount,
+    Document,
+    Metadata,
+    Parameter,
+    ParameterType,
+    Template,
+    content,
+    document_key,
+    encode_document,
+    invalid,
+    parse_document,
+    render,
+)
 
-DueMs = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
-Rate = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
-Size = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+__all__ = [
+    "ACCOUNTS",
+    "MAX_DOCUMENT_BYTES",
+    "PREFIX",
+    "TEMPLATES",
+    "ClientAccount",
+    "ConfigurationSet",
+    "Document",
+    "DueMs",
+    "Limits",
+    "Metadata",
+    "Operation",
+    "Parameter",
+    "ParameterType",
+    "Policy",
+    "Rate",
+    "Size",
+    "Template",
+    "content",
+    "document_key",
+    "encode_document",
+    "invalid",
+    "parse_document",
+    "render",
+]
 
+# Compared with when no account has the key, so that both paths do the same.
+_NO_DIGEST = bytes(32)
 
-class Operation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One kind of request that a client account may send.
+
+class ConfigurationSet:
+    """All templates, client accounts and policies at one revision.
+
+    Immutable; a change returns a new set. A document that cannot be parsed
+    or rendered keeps its last good state and is listed in `failures`.
 
     Attributes:
-      path: HTTP path; a trailing `*` matches any suffix.
-      method: HTTP method.
-      service: Service that runs it; empty for model requests.
-      idempotent: Whether it may run more than once.
-      key_required: Whether a request without `Idempotency-Key` is refused.
-      due_ms: Milliseconds from arrival in which the whole answer is due.
-      first_token_ms: Milliseconds in which the first token is due.
+      revision: Revision of the key-value service.
+      templates: Templates by name.
+      accounts: Client accounts by name, as last parsed.
+      policies: Policies by account name, as last rendered.
+      failures: What is wrong, by document key.
     """
 
-    path: str
-    method: str = "POST"
-    service: str = ""
-    idempotent: bool = True
-    key_required: bool = False
-    due_ms: DueMs = 30_000
-    first_token_ms: DueMs = 630
+    __slots__ = (
+        "_by_digest",
+        "_unparsed",
+        "accounts",
+        "failures",
+        "policies",
+        "revision",
+        "templates",
+    )
 
+    def __init__(self) -> None:
+        """Creates the empty set at revision 0."""
+        self.revision = 0
+        self.templates: Mapping[str, Template] = {}
+        self.accounts: Mapping[str, ClientAccount] = {}
+        self.policies: Mapping[str, Policy] = {}
+        self.failures: Mapping[str, errors.Failure] = {}
+        # Account names by digest of an access key, sorted; the first one
+        # is used, so that all processes agree on a hash given twice.
+        self._by_digest: Mapping[bytes, tuple[str, ...]] = {}
+        # Keys whose stored document cannot be parsed. Rendering the last
+        # good document again must not clear their failure.
+        self._unparsed: frozenset[str] = frozenset()
 
-class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of a client account over all instances."""
+    def with_documents(
+        self, revision: int, changes: Mapping[str, bytes | None]
+    ) -> "ConfigurationSet | errors.Failure":
+        """Applies changed documents; renders only the accounts touched.
 
-    requests_per_s: Rate = 100.0
-    burst: Size = 200
-    concurrency: Size = 200
+        Args:
+          revision: Revision of the result, not below the present one.
+          changes: New documents by key; None deletes one. Keys outside the
+            configuration are ignored.
 
+        Returns:
+          The new set, or STALE_REVISION when the revision is too old.
+        """
+        if revision < self.revision:
+            return errors.Failure(
+                errors.Reason.STALE_REVISION,
+                errors.Step.CONFIGURE,
+                "configuration",
+                detail=f"revision {revision} is below {self.revision}",
+            )
+        draft = _Draft(self)
+        for key, data in sorted(changes.items()):
+            draft.change(key, data)
+        draft.render_touched()
+        return draft.finish(revision)
 
-class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a client account may do, rendered from its template.
+    def replaced_by(
+        self, revision: int, documents: Mapping[str, bytes]
+    ) -> "ConfigurationSet | errors.Failure":
+        """Applies a snapshot: documents that it lacks are deleted."""
+        present = [TEMPLATES + name for name in self.templates]
+        present += [ACCOUNTS + name for name in self.accounts]
+        present += self.failures
+        changes: dict[str, bytes | None] = dict.fromkeys(present)
+        changes.update(documents)
+        return self.with_documents(revision, changes)
+
+    def authenticate(self, key: str) -> Policy | errors.Failure:
+        """Returns the policy of the account that has an access key."""
+        digest = hashlib.sha256(key.encode("utf-8", "replace")).digest()
+        names = self._by_digest.get(digest, ())
+        stored = digest if names else _NO_DIGEST
+        # The table is searched by digest, which callers cannot steer; both
+        # outcomes make the same comparison.
+        policy = self.policies.get(names[0] if names else "")
+        if hmac.compare_digest(digest, stored) and policy is not None:
+            return policy
+        return errors.Failure(
+            errors.Reason.UNAUTHENTICATED,
+            errors.Step.AUTHENTICATE,
+            "caller",
+            detail="unknown access key",
+        )
+
+    def conflicts(self) -> list[errors.Failure]:
+        """Returns one failure for each access key that two accounts have."""
+        return [
+            invalid(
+                f"accounts/{name}",
+                f'"key_hashes": a hash is already used by "{names[0]}"',
+            )
+            for names in self._by_digest.values()
+            for name in names[1:]
+        ]
+
+    def check(self, listed: inventory.Inventory) -> list[errors.Failure]:
+        """Checks that models, adapters and services exist (R2).
+
+        Args:
+          listed: What the platform lists.
+
+        Returns:
+          One failure for each missing name, in order of accounts.
+        """
+        models = {model.name for model in listed.models}
+        adapters = {adapter.name: adapter.model for adapter in listed.adapters}
+        services = {
+            target.pool
+            for target in listed.targets
+            if target.kind is inventory.Kind.SERVICE
+        }
+        found: list[errors.Failure] = []
+        for name, policy in sorted(self.policies.items()):
+            document = f"accounts/{name}"
+            for model in policy.models:
+                if model not in models:
+                    found.append(
+                        invalid(document, f'"models": no model "{model}"')
+                    )
+            for adapter in policy.adapters:
+                base = adapters.get(adapter)
+                if base is None:
+                    problem = f'"adapters": no adapter "{adapter}"'
+                elif base not in policy.models:
+                    problem = f'"adapters": "{adapter}" needs model "{base}"'
+                else:
+                    continue
+                found.append(invalid(document, problem))
+            for operation in policy.operations:
+                service = operation.service
+                if service and service not in services:
+                    found.append(
+                        invalid(
+                            document, f'"operations": no service "{service}"'
+                        )
+                    )
+        return found
+
+
+class _Draft:
+    """Builds the next set from the present one."""
+
+    __slots__ = (
+        "accounts",
+        "by_digest",
+        "failures",
+        "policies",
+        "templates",
+        "touched",
+        "unparsed",
+    )
+
+    def __init__(self, base: ConfigurationSet) -> None:
+        self.templates = dict(base.templates)
+        self.accounts = dict(base.accounts)
+        self.policies = dict(base.policies)
+        self.failures = dict(base.failures)
+        self.by_digest = dict(base._by_digest)
+        self.unparsed = set(base._unparsed)
+        self.touched: set[str] = set()
+
+    def change(self, key: str, data: bytes | None) -> None:
+        """Takes one changed or deleted document."""
+        if key.startswith(TEMPLATES):
+            name = key.removeprefix(TEMPLATES)
+        elif key.startswith(ACCOUNTS):
+            name = key.removeprefix(ACCOUNTS)
+        else:
+            return
+        self.failures.pop(key, None)
+        self.unparsed.discard(key)
+        if data is None:
+            self._delete(key, name)
+            return
+        document = parse_document(data, key.removeprefix(PREFIX))
+        if not isinstance(document, errors.Failure) and (
+            document_key(document) != key
+        ):
+            document = invalid(
+                key.removeprefix(PREFIX),
+                f'"name": the document belongs at {document_key(document)}',
+            )
+        if isinstance(document, errors.Failure):
+            self.failures[key] = document
+            self.unparsed.add(key)
+        elif isinstance(document, Template):
+            self.templates[name] = document
+            self._touch_users(name)
+        else:
+            self.accounts[name] = document
+            self.touched.add(name)
+
+    def _delete(self, key: str, name: str) -> None:
+        if key.startswith(TEMPLATES):
+            if self.templates.pop(name, None) is not None:
+                self._touch_users(name)
+            return
+        self.accounts.pop(name, None)
+        self.touched.discard(name)
+        policy = self.policies.pop(name, None)
+        if policy is not None:
+            self._unlist(policy)
+
+    def _touch_users(self, template: str) -> None:
+        self.touched.update(
+            name
+            for name, account in self.accounts.items()
+            if account.template == template
+        )
+
+    def render_touched(self) -> None:
+        """Renders the policies of the accounts that a change touched."""
+        for name in sorted(self.touched):
+            account = self.accounts[name]
+            policy = render(account, self.templates.get(account.template))
+            key = ACCOUNTS + name
+            if isinstance(policy, errors.Failure):
+                if key not in self.unparsed:
+                    self.failures[key] = policy
+                continue
+            if name in self.policies:
+                self._unlist(self.policies[name])
+            if key not in self.unparsed:
+                self.failures.pop(key, None)
+            self.policies[name] = policy
+            for digest in _digests(policy.key_hashes):
+                names = self.by_digest.get(digest, ())
+                self.by_digest[digest] = tuple(sorted((*names, name)))
+
+    def _unlist(self, policy: Policy) -> None:
+        for digest in _digests(policy.key_hashes):
+            names = self.by_digest[digest]
+            left = tuple(name for name in names if name != policy.account)
+            if left:
+                self.by_digest[digest] = left
+            else:
+                del self.by_digest[digest]
+
+    def finish(self, revision: int) -> ConfigurationSet:
+        """Returns the set."""
+        result = ConfigurationSet()
+        result.revision = revision
+        result.templates = self.templates
+        result.accounts = self.accounts
+        result.policies = self.policies
+        result.failures = self.failures
+        result._by_digest = self.by_digest
+        result._unparsed = frozenset(self.unparsed)
+        return result
 
-    Attributes:
-      account: Name of the client account.
-      models: Models that it may use.
-      adapters: Adapters that it may use.
-      operations: Requests that it may send.
-      limits: Rate and concurrency limits.
-      priority: Engine priority; lower is more urgent.
-      key_hashes: SHA-256 hashes (hexadecimal) of its access keys.
-    """
 
-    account: str
-    models: list[str]
-    adapters: list[str]
-    operations: list[Operation]
-    limits: Limits = Limits()
-    priority: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
-    key_hashes: list[str] = []
-
-    def operation(self, method: str, path: str) -> Operation | None:
-        """Returns the first operation that matches a request."""
-        for operation in self.operations:
-            if operation.method == method and _matches(operation.path, path):
-                return operation
-        return None
-
-
-def _matches(pattern: str, path: str) -> bool:
-    if pattern.endswith("*"):
-        return path.startswith(pattern[:-1])
-    return path == pattern
+def _digests(key_hashes: Iterable[str]) -> list[bytes]:
+    return [bytes.fromhex(key_hash) for key_hash in key_hashes]
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,261 @@
+"""Guards rendering, authentication and incremental changes (R2, R5, R8)."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobsail import configuration, errors
+from tests import builders_config as build
+
+
+def _parsed(plain):
+    return configuration.parse_document(json.dumps(plain).encode())
+
+
+def _operations(**fields):
+    body = {"models": [], "adapters": [], "operations": [fields]}
+    return build.template(account=body)
+
+
+def _detail(template, account):
+    """Returns the detail of the only failure."""
+    built = build.configured(template, account)
+    (failure,) = built.failures.values()
+    assert failure.step is errors.Step.CONFIGURE
+    assert failure.detail.startswith(f"{failure.peer}: ")
+    return failure.detail
+
+
+def test_account_renders_with_defaults():
+    """R8: a default or a placeholder must reach the policy."""
+    built = build.configured(build.template(), build.account())
+    policy = built.authenticate(build.KEY)
+    assert policy.account == "valtellina"
+    assert policy.models == ["scrivano-1"]
+    assert policy.operation("POST", "/v1/completions").due_ms == 2000
+    assert not policy.operation("POST", "/bookings/7").idempotent
+    assert not built.failures and not built.check(build.listed())
+
+
+@pytest.mark.parametrize(
+    ("parameters", "problem"),
+    [
+        (
+            {"models": ["a"], "due_ms": 5},
+            '"parameters.due_ms": expected integer >= 100 and <= 60000 ms,'
+            " got 5",
+        ),
+        (
+            {"models": ["a"], "due_ms": True},
+            '"parameters.due_ms": expected integer >= 100 and <= 60000 ms',
+        ),
+        ({}, '"parameters.models": required, expected list length >= 1'),
+        (
+            {"models": []},
+            '"parameters.models": expected list length >= 1, got 0',
+        ),
+        (
+            {"models": ["a"], "duems": 5},
+            '"parameters.duems": not a parameter of template "counter"',
+        ),
+    ],
+)
+def test_parameter_errors_name_key_and_bound(parameters, problem):
+    """R8: a wrong parameter must be rejected with its bound."""
+    account = build.account(parameters=parameters)
+    detail = _detail(build.template(), account)
+    assert detail == f"accounts/valtellina: {problem}"
+
+
+@pytest.mark.parametrize(
+    ("fields", "problem"),
+    [
+        (
+            {"path": "/a", "method": "GET", "idempotent": False},
+            '"operations[0].idempotent": GET is repeated by callers,'
+            " expected true",
+        ),
+        (
+            {"path": "/a", "key_required": True},
+            '"operations[0].key_required": expected "idempotent": false',
+        ),
+        ({"path": "a"}, '"operations[0].path": expected /..., with * only'),
+        (
+            {"path": "/a", "due_ms": 0},
+            '"operations[0].due_ms": expected int >= 1',
+        ),
+        (
+            {"path": "/a", "due_ms": 9},
+            '"operations[0].first_token_ms": expected <= due_ms 9 ms',
+        ),
+        ({"path": "/a", "method": "get"}, '"operations[0].method": expected'),
+    ],
+)
+def test_operation_rules(fields, problem):
+    """R5: a non-idempotent operation must not become repeatable."""
+    template = _operations(**fields)
+    template["parameters"] = []
+    detail = _detail(template, build.account(parameters={}))
+    assert detail.startswith(f"accounts/valtellina: {problem}")
+
+
+def test_hidden_operation_is_rejected():
+    """R5: an idempotent pattern must not hide a booking."""
+    template = _operations(path="/*")
+    template["parameters"] = []
+    template["account"]["operations"].append(
+        {"path": "/bookings", "idempotent": False}
+    )
+    detail = _detail(template, build.account(parameters={}))
+    assert '"operations[1].path": hidden by operations[0]' in detail
+
+
+@pytest.mark.parametrize(
+    ("plain", "problem"),
+    [
+        ([], '"kind": expected template or account'),
+        ({"kind": ["x"]}, '"kind": expected template or account'),
+        (build.account(name="A b"), '"name": expected str matching regex'),
+        (build.account(key_hashes=["x"]), '"key_hashes[0]": expected str'),
+        (build.account(key_hashes=["0" * 64] * 2), '"key_hashes": a hash'),
+        (build.template(parameters=[]), '"account": placeholder "due_ms"'),
+        (build.template(account={"account": "x"}), '"account.account"'),
+        (
+            build.template(account={"models": {"$param": "models", "x": 1}}),
+            '"account": placeholder "{',
+        ),
+        (
+            build.template(parameters=[{"name": "x", "type": "string"}]),
+            '"parameters[0].default": expected a default or required',
+        ),
+        (
+            build.template(
+                parameters=[
+                    {"name": "x", "type": "number", "minimum": 2, "maximum": 1}
+                ]
+            ),
+            '"parameters[0].maximum": expected >= minimum 2',
+        ),
+    ],
+)
+def test_malformed_documents(plain, problem):
+    """R8: a malformed document must be named, not raise."""
+    failure = _parsed(plain)
+    assert failure.reason is errors.Reason.INVALID
+    assert failure.detail.startswith(f"document: {problem}")
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60))
+def test_any_bytes_parse_or_fail(data):
+    """Bytes written by another program must not end a process."""
+    result = configuration.parse_document(b'{"kind": "account",' + data)
+    assert isinstance(result, errors.Failure)
+
+
+def test_bad_change_keeps_the_last_good_policy():
+    """R2: an account must stay served while its new document is wrong."""
+    good = build.configured(build.template(), build.account())
+    for bad in (
+        {configuration.ACCOUNTS + "valtellina": b"{"},
+        build.documents(build.account(parameters={})),
+        build.documents(build.account(template="gone")),
+        {configuration.TEMPLATES + "counter": None},
+        {configuration.ACCOUNTS + "valtellina": b'{"kind": "template"}'},
+    ):
+        changed = good.with_documents(6, bad)
+        assert len(changed.failures) == 1
+        assert changed.policies == good.policies
+        assert changed.authenticate(build.KEY) == good.authenticate(build.KEY)
+        mended = changed.with_documents(
+            7, build.documents(build.template(), build.account())
+        )
+        assert not mended.failures
+
+
+def test_template_change_does_not_hide_a_malformed_account():
+    """R8: rendering the last good document must not clear the report."""
+    built = build.configured(build.template(), build.account())
+    key = configuration.ACCOUNTS + "valtellina"
+    bad = built.with_documents(6, {key: b"{"})
+    again = bad.with_documents(7, build.documents(build.template()))
+    assert again.failures[key] == bad.failures[key]
+
+
+def test_revision_never_goes_back():
+    """R8: an accepted configuration must not be replaced by an older one."""
+    built = build.configured(revision=5)
+    assert built.with_documents(4, {}).reason is errors.Reason.STALE_REVISION
+
+
+def test_unknown_and_deleted_keys_are_rejected():
+    """Section 12: a revoked access key must stop working."""
+    built = build.configured(build.template(), build.account())
+    rotated = built.with_documents(
+        6, build.documents(build.account(key_hashes=["0" * 64]))
+    )
+    deleted = built.replaced_by(6, build.documents(build.template()))
+    for changed in (rotated, deleted):
+        failure = changed.authenticate(build.KEY)
+        assert failure.reason is errors.Reason.UNAUTHENTICATED
+        assert build.KEY not in str(failure)
+    assert not deleted.policies
+
+
+def test_shared_hash_does_not_depend_on_order():
+    """R8: processes that saw changes in another order must agree."""
+    shared = [build.key_hash("k")]
+    first = build.account("a", key_hashes=shared)
+    second = build.account("b", key_hashes=shared)
+    one = build.configured(build.template(), second)
+    both = one.with_documents(6, build.documents(first))
+    assert both.authenticate("k").account == "a"
+    (conflict,) = both.conflicts()
+    assert conflict.peer == "accounts/b"
+    alone = both.with_documents(7, {configuration.ACCOUNTS + "a": None})
+    assert alone.authenticate("k").account == "b"
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    st.lists(st.tuples(st.sampled_from("abt"), st.integers(-1, 3)), max_size=12)
+)
+def test_incremental_equals_full(steps):
+    """R8: an incremental change must give what a full rendering gives."""
+    built = build.configured(build.template())
+    stored = build.documents(build.template())
+    for step, (name, value) in enumerate(steps):
+        if name == "t":
+            changes = build.documents(
+                _operations(path="/x", due_ms=1000 + value)
+                | {"parameters": [build.template()["parameters"][1]]}
+            )
+        else:
+            changes = build.documents(
+                build.account(name, key_hashes=[f"{value % 3}" * 64])
+            )
+            if value < 0:
+                changes = dict.fromkeys(changes)
+        stored.update(changes)
+        built = built.with_documents(6 + step, changes)
+    kept = {k: v for k, v in stored.items() if v is not None}
+    full = configuration.ConfigurationSet().replaced_by(99, kept)
+    assert full.policies == built.policies
+    assert full._by_digest == built._by_digest
+
+
+def test_missing_models_are_named():
+    """R2: an account must not refer to what no store holds."""
+    template = build.template()
+    template["account"]["adapters"] = ["gone", "clerk"]
+    template["account"]["operations"][1]["service"] = "nowhere"
+    account = build.account(parameters={"models": ["lost"]})
+    found = build.configured(template, account).check(build.listed())
+    assert [failure.detail.split(": ", 1)[1] for failure in found] == [
+        '"models": no model "lost"',
+        '"adapters": no adapter "gone"',
+        '"adapters": "clerk" needs model "scrivano-1"',
+        '"operations": no service "nowhere"',
+    ]
