--- /dev/null
+++ b/carobsail/httpclient.py
@@ -0,0 +1,374 @@
+"""HTTP/1.1 client: pooled connections to one address, h11 on asyncio streams.
+
+A failure of `Pool.request` has outcome NOT_RUN only when no byte of the
+request was written. A reused connection is checked for its end before it is
+written to; when the server closes it after that, without any answer byte, the
+request may still have been read, so the outcome is UNKNOWN.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import h11
+
+from carobsail import errors
+
+_READ_BYTES = 65_536
+_HEAD_BYTES = 65_536
+# Below the idle timeout of common servers, so that reuse rarely meets a close.
+_IDLE_S = 15.0
+
+
+class _Reader(asyncio.StreamReader):
+    """Counts received bytes, to find bytes that no request asked for."""
+
+    received = 0
+
+    def feed_data(self, data: Any) -> None:
+        self.received += len(data)
+        super().feed_data(data)
+
+
+class _Connection:
+    """One connection to the server."""
+
+    __slots__ = ("consumed", "idle_since", "machine", "reader", "writer")
+
+    def __init__(self, reader: _Reader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.machine = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+        )
+        self.consumed = 0
+        self.idle_since = 0.0
+
+    async def next_event(self) -> object:
+        """Returns the next h11 event, reading as needed.
+
+        Raises:
+          OSError: The connection failed.
+          h11.RemoteProtocolError: The answer is malformed or ended early.
+        """
+        while (event := self.machine.next_event()) is h11.NEED_DATA:
+            await self.receive()
+        return event
+
+    async def receive(self) -> None:
+        """Reads once from the connection."""
+        data = await self.reader.read(_READ_BYTES)
+        self.consumed += len(data)
+        self.machine.receive_data(data)
+
+    def clean(self) -> bool:
+        """Whether the connection is open and holds no unread byte."""
+        return (
+            not self.reader.at_eof()
+            and self.reader.exception() is None
+            and self.reader.received == self.consumed
+            and not self.machine.trailing_data[0]
+            and not self.writer.is_closing()
+        )
+
+
+class Answer:
+    """An answer being received.
+
+    Attributes:
+      status: HTTP status.
+      headers: Headers in order, names in lower case.
+    """
+
+    __slots__ = ("_connection", "_pool", "headers", "status")
+
+    def __init__(
+        self, pool: "Pool", connection: _Connection, head: h11.Response
+    ) -> None:
+        self.status = head.status_code
+        self.headers = [
+            (k.decode(), v.decode("latin-1")) for k, v in head.headers
+        ]
+        self._pool = pool
+        self._connection: _Connection | None = connection
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header called `name` (in lower case)."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    async def chunks(self) -> AsyncIterator[bytes | errors.Failure]:
+        """Yields body bytes, one chunk for each read from the socket.
+
+        A body that ended early, or whose end cannot be told from a cut
+        (neither a length nor chunked), ends with an ANSWER_CUT failure.
+        """
+        detail = ""
+        while (connection := self._connection) is not None:
+            parts: list[bytes] = []
+            end: object = None
+            try:
+                event = connection.machine.next_event()
+                while isinstance(event, h11.Data):
+                    parts.append(event.data)
+                    event = connection.machine.next_event()
+                end = event
+            except h11.RemoteProtocolError as error:
+                detail = str(error)
+            if parts:
+                yield bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
+            if detail:
+                break
+            if isinstance(end, h11.EndOfMessage):
+                if not self._delimited():
+                    detail = "the answer has no length"
+                    break
+                self._release(connection)
+                return
+            try:
+                await connection.receive()
+            except OSError as error:
+                detail = str(error)
+                break
+            except BaseException:
+                await self.close()
+                raise
+        detail = detail or "the answer was given up"
+        await self.close()
+        yield self._pool.failure(errors.Reason.ANSWER_CUT, detail)
+
+    def _delimited(self) -> bool:
+        if self.status in (204, 304):
+            return True
+        return any(
+            name in ("content-length", "transfer-encoding")
+            for name, _ in self.headers
+        )
+
+    def _release(self, connection: _Connection) -> None:
+        self._connection = None
+        self._pool.give_back(connection)
+
+    async def read(self, limit: int) -> bytes | errors.Failure:
+        """Returns the whole body; a longer one than `limit` is a failure."""
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            if isinstance(chunk, errors.Failure):
+                return chunk
+            size += len(chunk)
+            if size > limit:
+                await self.close()
+                return self._pool.failure(
+                    errors.Reason.BODY_TOO_LARGE,
+                    f"the answer exceeds {limit} bytes",
+                )
+            parts.append(chunk)
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    async def close(self) -> None:
+        """Gives up the rest of the answer and closes its connection."""
+        connection, self._connection = self._connection, None
+        if connection:
+            self._pool.discard(connection)
+
+
+class Pool:
+    """Connections to one `host:port`.
+
+    Attributes:
+      address: `host:port` of the server.
+      connects: Number of connections opened.
+    """
+
+    __slots__ = (
+        "_closed",
+        "_free",
+        "_host",
+        "_idle",
+        "_port",
+        "_timeout_s",
+        "address",
+        "connects",
+    )
+
+    def __init__(
+        self, address: str, limit: int, connect_timeout_s: float
+    ) -> None:
+        """Creates a pool without connections.
+
+        Args:
+          address: `host:port` of the server.
+          limit: Requests under way at once; further ones wait.
+          connect_timeout_s: Bound on that wait and on each connect.
+        """
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._host = host.strip("[]")
+        self._port = int(port)
+        self._timeout_s = connect_timeout_s
+        self._free = asyncio.Semaphore(limit)
+        self._idle: list[_Connection] = []
+        self._closed = False
+        self.connects = 0
+
+    def failure(
+        self,
+        reason: errors.Reason,
+        detail: str,
+        outcome: errors.Outcome = errors.Outcome.UNKNOWN,
+        step: errors.Step = errors.Step.ANSWER,
+    ) -> errors.Failure:
+        """Returns a failure that names the pool's address."""
+        return errors.Failure(reason, step, self.address, outcome, detail)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> Answer | errors.Failure:
+        """Sends a request and returns its answer once the head arrived.
+
+        Cancelling the call closes the connection.
+        """
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                await self._free.acquire()
+        except TimeoutError:
+            return self.failure(
+                errors.Reason.OVERLOADED,
+                "no free connection",
+                errors.Outcome.NOT_RUN,
+                errors.Step.CONNECT,
+            )
+        connection: _Connection | errors.Failure | None = None
+        try:
+            connection = await self._take_idle() or await self._connect()
+            if isinstance(connection, errors.Failure):
+                self._free.release()
+                return connection
+            answer = await self._exchange(
+                connection, method, path, headers, body
+            )
+        except BaseException:
+            if isinstance(connection, _Connection):
+                self.discard(connection)
+            else:
+                self._free.release()
+            raise
+        if isinstance(answer, errors.Failure):
+            self.discard(connection)
+        return answer
+
+    async def _take_idle(self) -> _Connection | None:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if now - connection.idle_since < _IDLE_S:
+                # The loop reads the socket between two passes, so a close or
+                # stray bytes that have arrived are seen before writing.
+                try:
+                    await asyncio.sleep(0)
+                    await asyncio.sleep(0)
+                except BaseException:
+                    connection.writer.close()
+                    raise
+                if connection.clean():
+                    return connection
+            connection.writer.close()
+        return None
+
+    async def _connect(self) -> _Connection | errors.Failure:
+        loop = asyncio.get_running_loop()
+        reader = _Reader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        self.connects += 1
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                transport, _ = await loop.create_connection(
+                    lambda: protocol, self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            return self.failure(
+                errors.Reason.CONNECT_FAILED,
+                str(error) or "connect timed out",
+                errors.Outcome.NOT_RUN,
+                errors.Step.CONNECT,
+            )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return _Connection(reader, writer)
+
+    async def _exchange(
+        self,
+        connection: _Connection,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> Answer | errors.Failure:
+        names = {name.lower() for name, _ in headers}
+        if "host" not in names:
+            headers = [("host", self.address), *headers]
+        if "content-length" not in names and (body or method != "GET"):
+            headers = [*headers, ("content-length", str(len(body)))]
+        machine = connection.machine
+        try:
+            parts = machine.send(
+                h11.Request(method=method, target=path, headers=headers)  # type: ignore[arg-type]
+            )
+            assert parts is not None
+            parts += machine.send(h11.Data(data=body)) or b"" if body else b""
+            parts += machine.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as error:
+            return self.failure(
+                errors.Reason.BAD_REQUEST,
+                str(error),
+                errors.Outcome.NOT_RUN,
+                errors.Step.SEND,
+            )
+        # The whole request is in memory already, so the answer is awaited
+        # without waiting for the write: it may come before the body is read.
+        connection.writer.write(parts)
+        try:
+            event = await connection.next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await connection.next_event()
+        except (OSError, h11.RemoteProtocolError) as error:
+            return self.failure(errors.Reason.CONNECTION_LOST, str(error))
+        if not isinstance(event, h11.Response):
+            return self.failure(
+                errors.Reason.CONNECTION_LOST, "closed before the answer"
+            )
+        return Answer(self, connection, event)
+
+    def give_back(self, connection: _Connection) -> None:
+        """Takes a connection whose answer was read to its end."""
+        machine = connection.machine
+        reusable = (
+            not self._closed
+            and machine.our_state is h11.DONE
+            and machine.their_state is h11.DONE
+            and connection.clean()
+        )
+        if not reusable:
+            self.discard(connection)
+            return
+        machine.start_next_cycle()
+        connection.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+        self._free.release()
+
+    def discard(self, connection: _Connection) -> None:
+        """Closes a connection that was in use."""
+        connection.writer.close()
+        self._free.release()
+
+    def close(self) -> None:
+        """Closes the idle connections; those in use close after use."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().writer.close()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of carobsail."""
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,131 @@
+"""Guards the outcomes of cut requests and the reuse of connections."""
+
+import asyncio
+
+import pytest
+
+from carobsail import errors
+from tests import builders_io as build
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def event_loop_policy():
+    return build.NetworkPolicy()
+
+
+async def call(pool, body=b"x"):
+    """Returns the whole answer or the failure of one request."""
+    answer = await pool.request("POST", "/", [], body)
+    if isinstance(answer, errors.Failure):
+        return answer
+    return await answer.read(1000)
+
+
+async def test_refused_connection_is_not_run():
+    """R4: a refused connection proves that nothing ran."""
+    failure = await call(build.pool(9))
+    assert failure.reason is errors.Reason.CONNECT_FAILED
+    assert failure.outcome is errors.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (None, errors.Reason.CONNECTION_LOST),
+        (b"HTTP/1.1 200 OK\r\nConte", errors.Reason.CONNECTION_LOST),
+        (b"nonsense\r\n\r\n", errors.Reason.CONNECTION_LOST),
+        (WHOLE[:-2], errors.Reason.ANSWER_CUT),
+        (WHOLE[:-1], errors.Reason.ANSWER_CUT),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            errors.Reason.ANSWER_CUT,
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nok", errors.Reason.ANSWER_CUT),
+    ],
+)
+async def test_cut_after_writing_is_unknown(answer, reason):
+    """R3, R4: a cut at any later stage is neither whole nor not run."""
+    listener = await build.raw_server(answer)
+    failure = await call(build.pool(build.port_of(listener)))
+    assert failure.reason is reason
+    assert failure.outcome is errors.Outcome.UNKNOWN
+
+
+async def test_close_of_a_reused_connection_is_unknown():
+    """R4, R5: a server that closes after reading may have run the request."""
+    listener = await build.raw_server(WHOLE, None)
+    pool = build.pool(build.port_of(listener))
+    assert await call(pool) == b"ok"
+    failure = await call(pool)
+    assert failure.outcome is errors.Outcome.UNKNOWN
+    assert pool.connects == 1
+
+
+async def test_idle_connection_closed_earlier_is_not_written_to():
+    """R4: a close seen before writing must not fail the request."""
+    server = await build.server(idle_timeout_s=1.0)
+    pool = build.pool(server.port)
+    assert await call(pool) == b"x"
+    await asyncio.sleep(2.0)
+    assert await call(pool) == b"x"
+    assert pool.connects == 2
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 1.0])
+async def test_stray_answer_reaches_no_later_request(delay_s):
+    """R3: bytes that no request asked for must not answer the next one."""
+    listener = await build.raw_server(WHOLE + b"HTTP/1.1 200 OK", WHOLE)
+    pool = build.pool(build.port_of(listener))
+    assert await call(pool) == b"ok"
+    await asyncio.sleep(delay_s)
+    assert await call(pool) == b"ok"
+    assert pool.connects == 2
+
+
+async def test_only_whole_answers_free_a_connection_for_reuse():
+    """R3: an abandoned answer must not be read by the next request."""
+    server = await build.server()
+    pool = build.pool(server.port, limit=1)
+    answer = await pool.request("POST", "/", [], b"first")
+    await answer.close()
+    assert await call(pool, b"second") == b"second"
+    assert await call(pool, b"third") == b"third"
+    assert pool.connects == 2
+
+
+async def test_cancelled_request_frees_its_place():
+    """A caller that gives up must neither leak nor reuse its connection."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(5.0)
+        await responder.send(200, [], request.body)
+
+    server = await build.server(handler)
+    pool = build.pool(server.port, limit=1)
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(call(pool), 1.0)
+    waiting = asyncio.create_task(call(pool, b"mine"))
+    await asyncio.sleep(0.1)
+    refused = await call(pool)
+    assert refused.outcome is errors.Outcome.NOT_RUN
+    assert await waiting == b"mine"
+
+
+async def test_events_of_one_read_are_one_chunk():
+    """Many small chunks must not cost one pass each."""
+    body = b"1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n"
+    listener = await build.raw_server(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+    )
+    pool = build.pool(build.port_of(listener))
+    answer = await pool.request("GET", "/", [], b"")
+    assert [chunk async for chunk in answer.chunks()] == [b"abc"]
+
+
+async def test_long_answer_is_bounded():
+    """An answer larger than the caller's bound must not fill memory."""
+    server = await build.server()
+    failure = await call(build.pool(server.port), b"x" * 2000)
+    assert failure.reason is errors.Reason.BODY_TOO_LARGE
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,179 @@
+"""Guards the HTTP server's bounds, its drain and its answers (R3, R7)."""
+
+import asyncio
+
+import pytest
+
+from tests import builders_io as build
+
+GET = b"GET /a?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+LAST = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+@pytest.fixture
+def event_loop_policy():
+    return build.NetworkPolicy()
+
+
+async def test_pipelined_requests_get_their_own_answers_in_order():
+    """R3: pipelined requests must not get crossed answers."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(1.0 if request.path == "/a" else 0.0)
+        await responder.send(200, [], request.path.encode())
+
+    server = await build.server(handler)
+    received = await build.exchange(server.port, GET + LAST)
+    assert received.index(b"/a") < received.index(b"/b")
+    assert received.count(b"HTTP/1.1 200") == 2
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (GET[:-2] + b"X: " + b"x" * 600 + b"\r\n\r\n", b"431"),
+        (GET[:-2] + b"X: " + b"x" * 70_000, b"431"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n", b"413"),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"40\r\n" + b"x" * 64 + b"\r\n0\r\n\r\n",
+            b"413",
+        ),
+        (GET[:10], b"408"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx", b"408"),
+    ],
+)
+async def test_bounds_are_answered(data, status):
+    """An unbounded or stalled request must not hold memory (section 12)."""
+    server = await build.server(header_bytes=512, body_bytes=32)
+    received = await build.exchange(server.port, data)
+    assert received.startswith(b"HTTP/1.1 " + status)
+    await asyncio.sleep(1.1)
+    assert server.connections == 0
+
+
+async def test_too_many_connections_are_refused():
+    """The number of connections is bounded, and the refusal is readable."""
+    server = await build.server(connections=1)
+    _, first = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(0.1)
+    received = await build.exchange(server.port, GET)
+    assert received.startswith(b"HTTP/1.1 503")
+    first.close()
+
+
+async def test_idle_connection_is_closed():
+    """Idle connections must not pile up."""
+    server = await build.server(idle_timeout_s=5.0)
+    assert await build.exchange(server.port, GET) != b""
+    assert asyncio.get_running_loop().time() == pytest.approx(5.0, abs=0.1)
+
+
+async def test_drain_cuts_nothing():
+    """R7: a planned stop answers what is in flight and what just arrives."""
+
+    async def handler(request, responder):
+        await responder.start(200, [])
+        await asyncio.sleep(9.0)
+        await responder.write(b"whole")
+        await responder.finish()
+
+    server = await build.server(handler)
+    first = asyncio.create_task(build.exchange(server.port, GET))
+    _, late = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    late.write(GET)
+    await server.drain()
+    assert b"whole" in await first
+    assert server.connections == 0
+    with pytest.raises(ConnectionError):
+        await build.exchange(server.port, GET)
+    late.close()
+
+
+async def test_drain_closes_idle_connections():
+    """R7: an idle keep-alive connection must not hold up a planned stop."""
+    server = await build.server()
+    idle = asyncio.create_task(build.exchange(server.port, GET))
+    await asyncio.sleep(1.0)
+    await server.drain()
+    assert b"200" in await idle
+    assert asyncio.get_running_loop().time() < 5.0
+
+
+async def test_close_counts_the_requests_cut():
+    """R7: a forced stop must say what it cut."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(100.0)
+
+    server = await build.server(handler)
+    call = asyncio.create_task(build.exchange(server.port, GET))
+    await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    assert await server.close() == 1
+    assert await call == b""
+
+
+async def test_departure_of_the_caller_is_noticed():
+    """Work for a caller that left must be cancelled, not finished."""
+    seen = []
+
+    async def handler(request, responder):
+        await responder.disconnected.wait()
+        seen.append(request.path)
+
+    server = await build.server(handler)
+    await build.exchange(server.port, GET, eof=True)
+    await asyncio.sleep(0.1)
+    assert seen == ["/a"]
+
+
+async def test_stalled_caller_is_cut():
+    """A caller that does not read must not hold its answer in memory."""
+    left = asyncio.Event()
+
+    async def handler(request, responder):
+        await responder.start(200, [])
+        while not responder.disconnected.is_set():
+            await responder.write(b"x" * 65_536)
+        left.set()
+
+    server = await build.server(handler, write_timeout_s=3.0)
+    _, writer = await asyncio.open_connection(
+        "127.0.0.1", server.port, limit=1024
+    )
+    writer.write(GET)
+    await asyncio.wait_for(left.wait(), 10.0)
+    writer.close()
+
+
+@pytest.mark.parametrize("started", [False, True])
+async def test_failing_handler_never_looks_like_a_whole_answer(started):
+    """R3: an answer that broke off must not end like a whole one."""
+
+    async def handler(request, responder):
+        if started:
+            await responder.start(200, [])
+            await responder.write(b"part")
+        raise ValueError("fault in the handler")
+
+    server = await build.server(handler)
+    received = await build.exchange(server.port, LAST)
+    assert received.startswith(b"HTTP/1.1 200" if started else b"HTTP/1.1 500")
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+async def test_expect_continue_and_head():
+    """Callers that wait for 100 must not hang; HEAD has no body."""
+    server = await build.server()
+    received = await build.exchange(
+        server.port,
+        b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 2\r\nConnection: close\r\n\r\n",
+        eof=False,
+    )
+    assert received.startswith(b"HTTP/1.1 100")
+    received = await build.exchange(server.port, LAST.replace(b"GET", b"HEAD"))
+    assert received.endswith(b"\r\n\r\n")
