--- /dev/null
+++ b/carobsail/standin_keyvalue.py
@@ -0,0 +1,227 @@
+"""Stand-in of the platform's key-value service: the etcd v3 JSON gateway."""
+
+import asyncio
+import base64
+from typing import Any
+
+import msgspec
+
+from carobsail import errors, httpserver
+from carobsail.keyvalue import (
+    Compare,
+    Delete,
+    KeyValue,
+    MemoryKeyValue,
+    Put,
+    RangeResult,
+    WatchEvent,
+)
+
+_JSON = [("content-type", "application/json")]
+
+
+class KeyValueStandin:
+    """Serves the gateway's endpoints over a `MemoryKeyValue`.
+
+    Attributes:
+      store: The data.
+      address: `host:port` once started.
+      available: While False, connections are cut without effect.
+      delay_s: Seconds before each call takes effect.
+      lose_answers: Number of coming calls that take effect but whose
+        connection is cut without an answer.
+      calls: Number of calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.store = MemoryKeyValue()
+        self.address = ""
+        self.available = True
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.calls: dict[str, int] = {}
+        self._server: httpserver.Server | None = None
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Starts listening."""
+        bounds = httpserver.Bounds()
+        self._server = await httpserver.serve(
+            host, port, self._handle, bounds, "keyvalue-standin"
+        )
+        self.address = f"{host}:{self._server.port}"
+
+    async def stop(self) -> None:
+        """Cuts all connections and stops listening."""
+        if self._server:
+            await self._server.close()
+
+    async def _handle(
+        self, request: httpserver.Request, responder: httpserver.Responder
+    ) -> None:
+        path = request.path
+        self.calls[path] = self.calls.get(path, 0) + 1
+        await asyncio.sleep(self.delay_s)
+        if not self.available:
+            responder.abort()
+            return
+        body = msgspec.json.decode(request.body)
+        if path == "/v3/watch":
+            await self._watch(body["create_request"], responder)
+            return
+        handlers = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._transact,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep,
+            "/v3/lease/revoke": self._revoke,
+        }
+        if path not in handlers:
+            await _refuse(responder, 404, 12, "unknown path")
+            return
+        result = await handlers[path](body)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            responder.abort()
+        elif isinstance(result, errors.Failure):
+            await _refuse(responder, 404, 5, "requested lease not found")
+        else:
+            await responder.send(200, _JSON, msgspec.json.encode(result))
+
+    async def _range(self, body: dict[str, Any]) -> object:
+        result = await self._read(body)
+        return {
+            "header": {"revision": str(result.revision)},
+            "kvs": [_kv(value) for value in result.values],
+            "count": str(len(result.values)),
+        }
+
+    async def _read(self, body: dict[str, Any]) -> RangeResult:
+        key, end = _text(body["key"]), _bytes(body.get("range_end", ""))
+        result = await self.store.range("" if end == b"\0" else key)
+        assert isinstance(result, RangeResult)
+        if not end:
+            same = tuple(v for v in result.values if v.key == key)
+            return RangeResult(result.revision, same)
+        return result
+
+    async def _transact(self, body: dict[str, Any]) -> object:
+        compares = []
+        for item in body.get("compare", ()):
+            if (item["target"], item["result"]) != ("MOD", "EQUAL"):
+                raise ValueError("only MOD EQUAL is supported")
+            revision = int(item.get("modRevision", 0))
+            compares.append(Compare(_text(item["key"]), revision))
+        writes = [_write(item) for item in body.get("success", ())]
+        result = await self.store.transact(compares, writes)
+        if isinstance(result, errors.Failure):
+            return result
+        answer: dict[str, Any] = {
+            "header": {"revision": str(result.revision)},
+            "responses": [],
+        }
+        if result.succeeded:
+            return answer | {"succeeded": True}
+        for item in body.get("failure", ()):
+            found = await self._read(item["requestRange"])
+            kvs = [_kv(value) for value in found.values]
+            answer["responses"].append({"response_range": {"kvs": kvs}})
+        return answer
+
+    async def _grant(self, body: dict[str, Any]) -> object:
+        lease = await self.store.grant_lease(int(body["TTL"]))
+        return {"header": {}, "ID": str(lease), "TTL": body["TTL"]}
+
+    async def _keep(self, body: dict[str, Any]) -> object:
+        ttl = await self.store.keep_lease(int(body["ID"]))
+        result = {"header": {}, "ID": body["ID"]}
+        if isinstance(ttl, float) and ttl:
+            result["TTL"] = str(int(ttl))
+        return {"result": result}
+
+    async def _revoke(self, body: dict[str, Any]) -> object:
+        lease = int(body["ID"])
+        # A kept lease that answers 0 is gone; the service refuses it.
+        if await self.store.keep_lease(lease) == 0:
+            return errors.Failure(
+                errors.Reason.INVALID, errors.Step.KEY_VALUE, self.address
+            )
+        await self.store.revoke_lease(lease)
+        return {"header": {}}
+
+    async def _watch(
+        self, create: dict[str, Any], responder: httpserver.Responder
+    ) -> None:
+        prefix = _text(create["key"]) if _text(create["key"]) != "\0" else ""
+        changes = aiter(
+            self.store.watch(prefix, int(create.get("start_revision", 1)))
+        )
+        await responder.start(200, _JSON)
+        created = {"result": {"header": {}, "created": True}}
+        await responder.write(msgspec.json.encode(created) + b"\n")
+        left = asyncio.create_task(responder.disconnected.wait())
+        try:
+            while self.available and not left.done():
+                step = asyncio.ensure_future(anext(changes))
+                while not step.done() and self.available and not left.done():
+                    await asyncio.wait(
+                        {step, left},
+                        timeout=0.1,
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                if not step.done():
+                    step.cancel()
+                    break
+                events = step.result()
+                assert not isinstance(events, errors.Failure)
+                result = {"header": {}, "events": [_event(e) for e in events]}
+                line = msgspec.json.encode({"result": result}) + b"\n"
+                await responder.write(line)
+        finally:
+            left.cancel()
+            responder.abort()
+
+
+async def _refuse(
+    responder: httpserver.Responder, status: int, code: int, message: str
+) -> None:
+    body = {"error": message, "code": code, "message": message}
+    await responder.send(status, _JSON, msgspec.json.encode(body))
+
+
+def _bytes(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _text(text: str) -> str:
+    return _bytes(text).decode()
+
+
+def _base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _kv(value: KeyValue) -> dict[str, str]:
+    kv = {
+        "key": _base64(value.key.encode()),
+        "mod_revision": str(value.mod_revision),
+    }
+    if value.value:
+        kv["value"] = _base64(value.value)
+    if value.lease:
+        kv["lease"] = str(value.lease)
+    return kv
+
+
+def _event(event: WatchEvent) -> dict[str, Any]:
+    kv = _kv(KeyValue(event.key, event.value or b"", event.mod_revision))
+    if event.value is None:
+        return {"type": "DELETE", "kv": kv}
+    return {"kv": kv}
+
+
+def _write(item: dict[str, Any]) -> Put | Delete:
+    if "requestPut" in item:
+        put = item["requestPut"]
+        lease = int(put.get("lease", 0))
+        return Put(_text(put["key"]), _bytes(put.get("value", "")), lease)
+    return Delete(_text(item["requestDeleteRange"]["key"]))
