--- /dev/null
+++ b/carobsail/httpconnection.py
@@ -0,0 +1,381 @@
+"""One HTTP/1.1 connection of a server: h11 on asyncio streams.
+
+A handler receives a whole `Request` and answers through a `Responder`.
+Requests of one connection are served one after the other; pipelined bytes
+wait in the connection's buffer.
+"""
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Awaitable, Callable
+
+import h11
+
+_READ_BYTES = 65_536
+# A caller that sent more pipelined bytes than this is not read from, and not
+# watched for its departure, until its current answer is finished.
+_PIPELINED_BYTES = 65_536
+# Lets a caller read an early refusal before unread bytes reset the connection.
+_LINGER_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bounds:
+    """Bounds of a server.
+
+    Attributes:
+      header_bytes: Request line and headers of one request.
+      body_bytes: Body of one request.
+      connections: Open connections.
+      idle_timeout_s: Seconds that a connection waits for its next request.
+      header_timeout_s: Seconds from a request's first byte to its headers.
+      body_timeout_s: Seconds from a request's headers to its whole body.
+      write_timeout_s: Seconds that a caller may leave its answer unread.
+    """
+
+    header_bytes: int = 32_768
+    body_bytes: int = 4_194_304
+    connections: int = 4096
+    idle_timeout_s: float = 75.0
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    write_timeout_s: float = 30.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """A received request; header names are in lower case.
+
+    Attributes:
+      method: HTTP method.
+      path: Path without the query.
+      query: Query without the question mark.
+      headers: Headers in order.
+      body: Whole body.
+      client: `host:port` of the caller.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    client: str
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header called `name` (in lower case)."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+Handler = Callable[[Request, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Answer to one request.
+
+    Writes after the caller left are dropped; `disconnected` is set then.
+    """
+
+    __slots__ = ("_connection", "_has_body", "disconnected", "finished")
+
+    def __init__(self, connection: "Connection", has_body: bool) -> None:
+        self._connection = connection
+        self._has_body = has_body
+        self.disconnected = asyncio.Event()
+        self.finished = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head was sent."""
+        return self._connection.machine.our_state is not h11.SEND_RESPONSE
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Sends the head; the body is chunked without a content length."""
+        self._start(status, headers)
+        await self._connection.flush()
+
+    def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        if status in (204, 304):
+            self._has_body = False
+        if self._connection.settings.draining:
+            headers = [h for h in headers if h[0].lower() != "connection"]
+            headers.append(("connection", "close"))
+        self._connection.send(
+            h11.Response(status_code=status, headers=headers)  # type: ignore[arg-type]
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends body bytes; waits while the caller reads too slowly."""
+        if data and self._has_body:
+            self._connection.send(h11.Data(data=data))
+            await self._connection.flush()
+
+    async def finish(self) -> None:
+        """Ends the body."""
+        self._connection.send(h11.EndOfMessage())
+        self.finished = True
+        await self._connection.flush()
+
+    async def send(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        headers = [h for h in headers if h[0].lower() != "content-length"]
+        self._start(status, [*headers, ("content-length", str(len(body)))])
+        if body and self._has_body:
+            self._connection.send(h11.Data(data=body))
+        await self.finish()
+
+    def abort(self) -> None:
+        """Closes the connection without the end of the body."""
+        self._connection.cut()
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """What the connections of a server share.
+
+    Attributes:
+      handler: Answers each request.
+      bounds: Bounds of the server.
+      draining: Whether each further answer closes its connection.
+    """
+
+    handler: Handler
+    bounds: Bounds
+    draining: bool = False
+
+
+class RefusalError(Exception):
+    """A request that is answered without a handler."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        settings: "Settings",
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.settings = settings
+        self.machine = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=settings.bounds.header_bytes
+        )
+        self.idle = True
+        self.responder: Responder | None = None
+        self._reader = reader
+        self._writer = writer
+        peer = writer.get_extra_info("peername")
+        self._client = f"{peer[0]}:{peer[1]}" if peer else "unknown"
+
+    def send(self, event: h11.Event) -> None:
+        """Passes one event to the transport."""
+        if self.responder and self.responder.disconnected.is_set():
+            return
+        parts = self.machine.send_with_data_passthrough(event)
+        if parts:
+            self._writer.write(parts[0] if len(parts) == 1 else b"".join(parts))
+
+    async def flush(self) -> None:
+        """Waits until the transport accepts more; cuts a stalled caller."""
+        if not self._writer.transport.get_write_buffer_size():
+            return
+        try:
+            async with asyncio.timeout(self.settings.bounds.write_timeout_s):
+                await self._writer.drain()
+        except (TimeoutError, ConnectionError):
+            self._leave()
+            self._writer.transport.abort()
+
+    def _leave(self) -> None:
+        if self.responder:
+            self.responder.disconnected.set()
+
+    def cut(self) -> None:
+        """Closes the connection so that the caller sees an unfinished body."""
+        self._leave()
+        if self.machine.their_http_version == b"1.0":
+            # Only a reset tells an HTTP/1.0 caller that the body is cut.
+            self._writer.transport.abort()
+        else:
+            self._writer.close()
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        try:
+            while await self._serve_one():
+                self.machine.start_next_cycle()
+        except RefusalError as refusal:
+            await self._refuse(refusal)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(
+                RefusalError(error.error_status_hint, str(error))
+            )
+        except ConnectionError:
+            pass
+        finally:
+            await self._close()
+
+    async def turn_away(self) -> None:
+        """Refuses a connection above the bound."""
+        try:
+            await self._refuse(RefusalError(503, "too many connections"))
+        finally:
+            await self._close()
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; tells whether another may follow."""
+        self.idle = True
+        request = await self._read_request()
+        if request is None:
+            return False
+        responder = Responder(self, request.method != "HEAD")
+        self.responder = responder
+        watch = asyncio.create_task(self._watch(responder))
+        try:
+            await self.settings.handler(request, responder)
+        except Exception:
+            _log.exception("handler failed", extra={"path": request.path})
+            if not responder.started:
+                await responder.send(500, [], b"")
+        finally:
+            watch.cancel()
+        if not responder.finished or responder.disconnected.is_set():
+            self.cut()
+            return False
+        self.responder = None
+        return (
+            self.machine.our_state is h11.DONE
+            and self.machine.their_state is h11.DONE
+        )
+
+    async def _watch(self, responder: Responder) -> None:
+        """Notices that the caller left while its answer is under way."""
+        while len(self.machine.trailing_data[0]) < _PIPELINED_BYTES:
+            try:
+                data = await self._reader.read(_READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                responder.disconnected.set()
+                return
+            self.machine.receive_data(data)
+
+    async def _read_request(self) -> Request | None:
+        bounds = self.settings.bounds
+        event = self.machine.next_event()
+        if event is h11.NEED_DATA and not self.machine.trailing_data[0]:
+            try:
+                async with asyncio.timeout(bounds.idle_timeout_s):
+                    await self._receive()
+            except TimeoutError:
+                return None
+            event = self.machine.next_event()
+        self.idle = False
+        try:
+            async with asyncio.timeout(bounds.header_timeout_s):
+                while event is h11.NEED_DATA:
+                    await self._receive()
+                    event = self.machine.next_event()
+        except TimeoutError:
+            raise RefusalError(408, "request headers took too long") from None
+        if not isinstance(event, h11.Request):
+            return None
+        # h11 bounds only headers that arrive in parts.
+        size = sum(len(k) + len(v) + 4 for k, v in event.headers)
+        if size + len(event.target) > bounds.header_bytes:
+            raise RefusalError(
+                431, f"headers exceed {bounds.header_bytes} bytes"
+            )
+        headers = [(k.decode(), v.decode("latin-1")) for k, v in event.headers]
+        try:
+            async with asyncio.timeout(bounds.body_timeout_s):
+                body = await self._read_body(headers, bounds.body_bytes)
+        except TimeoutError:
+            raise RefusalError(408, "request body took too long") from None
+        path, _, query = event.target.decode("latin-1").partition("?")
+        return Request(
+            event.method.decode(), path, query, headers, body, self._client
+        )
+
+    async def _read_body(
+        self, headers: list[tuple[str, str]], limit: int
+    ) -> bytes:
+        refusal = RefusalError(413, f"body exceeds {limit} bytes")
+        length = next((v for k, v in headers if k == "content-length"), "0")
+        if int(length) > limit:
+            raise refusal
+        if self.machine.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self.machine.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive()
+            elif isinstance(event, h11.Data):
+                parts.append(event.data)
+                size += len(event.data)
+                if size > limit:
+                    raise refusal
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise ConnectionResetError("request ended early")
+
+    async def _receive(self) -> None:
+        self.machine.receive_data(await self._reader.read(_READ_BYTES))
+
+    async def _refuse(self, refusal: RefusalError) -> None:
+        """Answers without a handler and closes."""
+        if self.machine.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = f"{refusal}\n".encode()
+            headers = [
+                ("content-type", "text/plain"),
+                ("content-length", str(len(body))),
+                ("connection", "close"),
+            ]
+            self.send(
+                h11.Response(status_code=refusal.status, headers=headers)  # type: ignore[arg-type]
+            )
+            self.send(h11.Data(data=body))
+            self.send(h11.EndOfMessage())
+        try:
+            async with asyncio.timeout(_LINGER_S):
+                if self._writer.can_write_eof():
+                    self._writer.write_eof()
+                while await self._reader.read(_READ_BYTES):
+                    pass
+        except (TimeoutError, OSError):
+            pass
+
+    async def _close(self) -> None:
+        self._writer.close()
+        try:
+            async with asyncio.timeout(self.settings.bounds.write_timeout_s):
+                await self._writer.wait_closed()
+        except (TimeoutError, OSError):
+            self._writer.transport.abort()
+
+    def close_idle(self) -> None:
+        """Closes the connection if no request is under way."""
+        if self.idle:
+            self._writer.close()
+
+    def kill(self) -> bool:
+        """Cuts at once; tells whether a request was under way."""
+        self._leave()
+        self._writer.transport.abort()
+        return not self.idle
