--- /dev/null
+++ b/tests/test_estimation.py
@@ -0,0 +1,100 @@
+"""Tests of carobsail.estimation."""
+
+import builders_requests as build
+import pytest
+
+from carobsail import errors, estimation
+
+
+def test_prediction_adds_wait_cold_prompt_and_output():
+    """Guards R9 against a formula that leaves out a part of the time."""
+    got = estimation.predict(
+        build.target(),
+        estimation.Backlog(4, slot_wait_s=2.0, prefill_wait_s=0.5),
+        build.work(1000, 10.0, cached_share=0.75, adapter_load_s=3.0),
+        speed=2.0,
+    )
+    assert got.start_s == 3.0  # The adapter loads while the request waits.
+    assert got.first_token_s == pytest.approx(3.0 + 0.5 + 0.5 + 0.2)
+    assert got.finish_s == pytest.approx(3.0 + 0.5 + 0.5 + 2.0)
+
+
+def test_exact_work_waits_for_the_earliest_free_slot():
+    """Guards R9 against counting requests instead of their remaining time."""
+    work = estimation.TargetWork(build.target(slots=2, decode=20.0))
+    for name, output, start in (("a", 10, 0.0), ("b", 30, 0.0)):
+        work.add(name, build.work(0, output))
+        work.started(name, start)
+        work.answered(name)
+    work.add("waiting", build.work(0, 10))
+    assert work.backlog(0.5).slot_wait_s == pytest.approx(1.5)
+    work.ended("waiting")
+    assert work.backlog(0.5).slot_wait_s == pytest.approx(0.5)
+    work.ended("b")
+    assert work.backlog(0.5).slot_wait_s == 0.0
+
+
+def test_exact_work_is_bounded():
+    """Guards R17 memory: a stuck target must not grow the table forever."""
+    work = estimation.TargetWork(build.target())
+    for number in range(estimation.MAX_ATTEMPTS):
+        assert work.add(str(number), build.work()) is None
+    refused = work.add("more", build.work())
+    assert isinstance(refused, errors.Failure)
+    assert refused.outcome is errors.Outcome.NOT_RUN
+
+
+def test_old_report_is_not_trusted():
+    """Guards R11: a lagging report of an idle target attracts all requests."""
+    target, reported = build.target(), estimation.ReportedWork()
+    reported.report("e1", 0, 0, now=0.0)
+    assert reported.backlog(target, 1.0).slot_wait_s == 0.0
+    old = reported.backlog(target, estimation.REPORT_MAX_AGE_S + 0.1)
+    assert old.slot_wait_s == estimation.UNKNOWN_WAIT_S
+
+
+def test_own_sendings_count_until_the_next_report():
+    """Guards R9: all requests of one second go to the same idle target."""
+    target, reported = build.target(), estimation.ReportedWork()
+    reported.report("e1", 3, 30, now=0.0)
+    assert reported.backlog(target, 0.0).slot_wait_s == 0.0
+    reported.sent("e1", "x", 10.0)
+    assert reported.backlog(target, 0.0).slot_wait_s == pytest.approx(0.25)
+    aged = reported.backlog(target, estimation.REPORT_MAX_AGE_S)
+    assert aged.slot_wait_s == pytest.approx(0.5)
+    reported.ended("e1", "x")
+    assert reported.backlog(target, 0.0).slot_wait_s == 0.0
+
+
+def test_speed_is_learned_within_bounds():
+    """Guards R13: one absurd answer time rules a target out or in for good."""
+    speeds = estimation.Speeds()
+    for _ in range(50):
+        speeds.observe("e1", "m", 1.0, 1e9)
+        speeds.observe("e2", "m", 1.0, 0.0)
+    assert speeds.is_slow("e1", "m")
+    assert speeds.factor("e1", "m") <= estimation.SPEED_MAX
+    assert speeds.factor("e2", "m") >= estimation.SPEED_MIN
+    assert not speeds.is_slow("e1", "other")
+
+
+def test_learned_tables_are_bounded():
+    """Guards R17 memory against names that callers make up."""
+    speeds, lengths = estimation.Speeds(), estimation.OutputLengths()
+    for number in range(estimation.MAX_SPEEDS + 1):
+        speeds.observe(f"e{number}", "m", 1.0, 4.0)
+        lengths.observe("a", str(number), "m", 7)
+    assert speeds.factor("e0", "m") == 1.0
+    expected = lengths.expect("a", "0", "m")
+    assert expected == estimation.DEFAULT_OUTPUT_TOKENS
+
+
+def test_output_length_follows_the_operation():
+    """Guards R9: drafts and lookups predicted with one common length."""
+    lengths = estimation.OutputLengths()
+    for _ in range(20):
+        lengths.observe("a", "/draft", "m", 400)
+        lengths.observe("a", "/lookup", "m", 20)
+    assert lengths.expect("a", "/draft", "m") == pytest.approx(400)
+    assert lengths.expect("a", "/draft", "m", limit=50) == 50
+    assert lengths.expect("a", "/lookup", "m") == pytest.approx(20)
