--- a/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of carobsail."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from carobsail import errors, exchange
-from tests import builders
+import builders
 
 EVENT = b"id: 1\ndata: x\n\n"
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from carobsail import errors, requests
-from tests import builders
+import builders
 
 
 @pytest.mark.parametrize(
