--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,9 @@
 import random
 
 import pytest
+from builders_coordination import run_virtual
 
 from carobsail import errors, messages, peers
-from tests.builders_coordination import run_virtual
 
 
 def hello(name, version=1, minimum=1):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,12 +2,12 @@
 
 import random
 
+from builders_coordination import run_virtual
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from carobsail import keyvalue, messages, relay
 from carobsail.membership import Process
-from tests.builders_coordination import run_virtual
 
 A, B = Process("a", "entry"), Process("b", "entry")
 
