Add the control process

Membership, leadership, ownership and relay need one process that runs them. Link.close now sends queued messages first, so that a leaving leader's last heartbeat arrives.

A planned stop is followed by a new leader within 2 s of virtual time in tests/test_control.py.

--- /dev/null
+++ b/carobsail/inventorysource.py
@@ -0,0 +1,48 @@
+"""Fetches the platform's inventory document over HTTP."""
+
+import asyncio
+
+from carobsail import errors, httpclient
+
+FETCH_TIMEOUT_S = 2.0
+# 12,000 targets take about 4 MB.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+
+
+class InventorySource:
+    """Client of the inventory document.
+
+    Attributes:
+      path: Path of the document.
+    """
+
+    __slots__ = ("_pool", "path")
+
+    def __init__(self, url: str) -> None:
+        """Takes a URL such as `http://10.0.0.1:8080/inventory`."""
+        address, slash, path = url.removeprefix("http://").partition("/")
+        self.path = slash + path or "/"
+        self._pool = httpclient.Pool(address, 1, FETCH_TIMEOUT_S)
+
+    async def fetch(self) -> bytes | errors.Failure:
+        """Returns the document."""
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                headers = [("host", self._pool.address)]
+                answer = await self._pool.request(
+                    "GET", self.path, headers, b""
+                )
+                if isinstance(answer, errors.Failure):
+                    return answer
+                body = await answer.read(MAX_DOCUMENT_BYTES)
+        except TimeoutError:
+            return self._pool.failure(errors.Reason.TIMEOUT, "inventory")
+        if answer.status != 200:
+            return self._pool.failure(
+                errors.Reason.UNAVAILABLE, f"inventory: {answer.status}"
+            )
+        return body
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
--- a/carobsail/links.py
+++ b/carobsail/links.py
@@ -42,7 +42,7 @@
 
     @abc.abstractmethod
     async def close(self) -> None:
-        """Closes the link; queued messages may be lost."""
+        """Closes the link after queued messages, within a second."""
 
     @abc.abstractmethod
     def __aiter__(self) -> AsyncIterator[messages.Message]:
@@ -163,6 +163,8 @@
     def _deliver(self) -> None:
         # Takes the oldest message: timers that are due together run in any
         # order, and messages must not overtake each other.
+        if not self._in_flight:
+            return  # Delivered by `close`.
         message = self._in_flight.popleft()
         if not self._other.closed:
             self._other._received.append(message)
@@ -177,6 +179,8 @@
 
     async def close(self) -> None:
         """See base class."""
+        while self._in_flight:
+            self._deliver()
         self.cut()
 
     async def __aiter__(self) -> AsyncIterator[messages.Message]:
--- a/carobsail/peers.py
+++ b/carobsail/peers.py
@@ -50,6 +50,7 @@
     """
 
     __slots__ = (
+        "_closing",
         "_connection",
         "_pump",
         "_queue",
@@ -71,6 +72,7 @@
         self._queued_bytes = 0
         self._room = asyncio.Event()
         self._wake = asyncio.Event()
+        self._closing: asyncio.Event | None = None
         self._pump = asyncio.create_task(self._write())
 
     async def send(self, message: messages.Message) -> None | errors.Failure:
@@ -100,8 +102,13 @@
                 while self._queue:
                     await self._connection.send(cbor2.dumps(self._batch()))
                     self._room.set()
+                if self._closing is not None:
+                    return
         except websockets.ConnectionClosed:
             self._end()
+        finally:
+            if self._closing is not None:
+                self._closing.set()
 
     def _batch(self) -> list[bytes]:
         batch: list[bytes] = []
@@ -122,6 +129,15 @@
 
     async def close(self) -> None:
         """See base class."""
+        self.closed = True
+        self._room.set()
+        if self._queue and not self._pump.done():
+            self._closing = asyncio.Event()
+            try:
+                async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                    await self._closing.wait()
+            except TimeoutError:
+                pass
         self._end()
         self._pump.cancel()
         await self._connection.close()
--- a/carobsail/peerset.py
+++ b/carobsail/peerset.py
@@ -1,6 +1,8 @@
 """Keeps links to a changing set of peers, and an in-memory network."""
 
 import asyncio
+import contextvars
+import dataclasses
 import random
 from collections.abc import Iterable
 
@@ -84,6 +86,14 @@
             await link.close()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Server:
+    hello: messages.Hello
+    on_link: peer_links.OnLink
+    # Accepted links run in the context of the process that listens.
+    context: contextvars.Context
+
+
 class MemoryNetwork:
     """Connects processes by address with in-memory links.
 
@@ -101,14 +111,15 @@
         self.links: list[peer_links.MemoryLink] = []
         self.metered = False
         self._blocked: set[str] = set()
-        self._servers: dict[str, tuple[messages.Hello, peer_links.OnLink]] = {}
+        self._servers: dict[str, _Server] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def serve(
         self, address: str, hello: messages.Hello, on_link: peer_links.OnLink
     ) -> None:
         """Listens on an address."""
-        self._servers[address] = (hello, on_link)
+        context = contextvars.copy_context()
+        self._servers[address] = _Server(hello, on_link, context)
 
     def stop(self, address: str) -> None:
         """Stops listening; present links remain."""
@@ -121,18 +132,20 @@
             await asyncio.sleep(self.latency_s)
             names = {hello.instance}
             if address in self._servers:
-                names.add(self._servers[address][0].instance)
+                names.add(self._servers[address].hello.instance)
             if address not in self._servers or names & self._blocked:
                 return errors.Failure(
                     errors.Reason.CONNECT_FAILED, errors.Step.CONNECT, address
                 )
-            served, on_link = self._servers[address]
+            server = self._servers[address]
             near, far = peer_links.MemoryLink.pair(
-                hello, served, self.latency_s
+                hello, server.hello, self.latency_s
             )
             near.metered = far.metered = self.metered
             self.links = [x for x in self.links if not x.closed] + [near, far]
-            task = asyncio.create_task(self._run(far, on_link))
+            task = asyncio.create_task(
+                self._run(far, server.on_link), context=server.context
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             return near
--- /dev/null
+++ b/carobsail/residency.py
@@ -0,0 +1,112 @@
+"""Resident models of data centres: the own one written, others watched."""
+
+import collections
+from collections.abc import Iterable
+
+import msgspec
+
+from carobsail import errors, keyvalue, messages
+
+WRITE_INTERVAL_S = 2.0
+_ROOT = "/carobsail/dc/"
+_NAME = "/residency"
+
+
+def residency_key(data_centre: str) -> str:
+    """Returns the key of a data centre's residency."""
+    return f"{_ROOT}{data_centre}{_NAME}"
+
+
+class ResidencyBook:
+    """Counts resident models and remembers those of other data centres.
+
+    Attributes:
+      others: Resident copies by model, by other data centre.
+    """
+
+    __slots__ = (
+        "_data_centre",
+        "_key_value",
+        "_written",
+        "_written_at",
+        "others",
+    )
+
+    def __init__(
+        self, data_centre: str, key_value: keyvalue.KeyValueClient
+    ) -> None:
+        self.others: dict[str, dict[str, int]] = {}
+        self._data_centre = data_centre
+        self._key_value = key_value
+        self._written: dict[str, int] | None = None
+        self._written_at = float("-inf")
+
+    async def load(
+        self, data_centres: Iterable[str]
+    ) -> list[messages.Residency] | errors.Failure:
+        """Reads the residency of other data centres."""
+        changed = []
+        for name in sorted(set(data_centres) - {self._data_centre}):
+            result = await self._key_value.range(residency_key(name))
+            if isinstance(result, errors.Failure):
+                return result
+            for found in result.values:
+                changed += self._take(found.key, found.value)
+        return changed
+
+    def record(
+        self, events: Iterable[keyvalue.WatchEvent]
+    ) -> list[messages.Residency]:
+        """Takes over watched changes; returns what to relay to entries."""
+        return [
+            message
+            for event in events
+            for message in self._take(event.key, event.value)
+        ]
+
+    def _take(self, key: str, value: bytes | None) -> list[messages.Residency]:
+        if not (key.startswith(_ROOT) and key.endswith(_NAME)):
+            return []
+        name = key[len(_ROOT) : -len(_NAME)]
+        if name == self._data_centre or "/" in name:
+            return []
+        models: dict[str, int] = {}
+        if value is not None:
+            try:
+                models = msgspec.json.decode(value, type=dict[str, int])
+            except msgspec.DecodeError:
+                return []
+        if self.others.get(name) == models:
+            return []
+        self.others[name] = models
+        return [messages.Residency(name, models)]
+
+    async def publish(
+        self,
+        progress: Iterable[messages.TargetProgress],
+        leader: keyvalue.Compare,
+        now: float,
+    ) -> None | errors.Failure:
+        """Writes the own residency if it changed, at most every 2 s.
+
+        Args:
+          progress: Latest progress of each engine.
+          leader: Compare of the leader key, which fences a deposed leader.
+          now: Loop time in seconds.
+        """
+        counted = collections.Counter(
+            model for entry in progress for model in entry.resident
+        )
+        models = dict(sorted(counted.items()))
+        due = now - self._written_at >= WRITE_INTERVAL_S
+        if models == self._written or not due:
+            return None
+        self._written_at = now
+        value = msgspec.json.encode(models)
+        put = keyvalue.Put(residency_key(self._data_centre), value)
+        result = await self._key_value.transact([leader], [put])
+        if isinstance(result, errors.Failure):
+            return result
+        if result.succeeded:
+            self._written = models
+        return None
--- /dev/null
+++ b/carobsail/term.py
@@ -0,0 +1,396 @@
+"""What a control process does while it leads its data centre."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
+import msgspec
+
+from carobsail import (
+    errors,
+    inventory,
+    keyvalue,
+    leadership,
+    membership,
+    messages,
+    ownership,
+    planning,
+    relay,
+    residency,
+)
+from carobsail import links as peer_links
+
+INVENTORY_INTERVAL_S = 1.0
+OWNERSHIP_INTERVAL_S = 0.25
+FLUSH_INTERVAL_S = relay.MESSAGE_INTERVAL_S
+PUBLISH_INTERVAL_S = 1.0
+WATCHED_PREFIX = "/carobsail/"
+RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+
+InventorySource = Callable[[], Awaitable[bytes | errors.Failure]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Context:
+    """What a term shares with its process.
+
+    Attributes:
+      data_centre: Data centre led.
+      key_value: Client of the key-value service.
+      inventory_source: Fetches the platform's inventory document.
+      leadership: Lease of the process.
+      members: Membership view of the process.
+      state: Configuration applied by the process.
+      links: Present link by process.
+      set_peers: Sets the addresses to keep links to.
+      planner: Placement policy.
+      render: planning.Renders policies from configuration documents.
+      rng: Source of jitter and tokens.
+      calls_per_s: Key-value call budget of the data centre.
+      instance: Own instance.
+    """
+
+    data_centre: str
+    key_value: keyvalue.KeyValueClient
+    inventory_source: InventorySource
+    leadership: leadership.Leadership
+    members: membership.Membership
+    state: relay.ConfigurationState
+    links: dict[membership.Process, peer_links.Link]
+    set_peers: Callable[[Sequence[str]], None]
+    planner: planning.Planner | None
+    render: planning.Render
+    rng: random.Random
+    calls_per_s: float
+    instance: str
+
+
+class Term:
+    """One term of a leader, through outages of the key-value service.
+
+    Attributes:
+      book: Ownership decisions.
+      relay: Configuration fan-out.
+      inventory: Last inventory read, if any.
+      plans: Progress of engines and plans for them.
+    """
+
+    __slots__ = (
+        "_adopted",
+        "_applied",
+        "_context",
+        "_document",
+        "_loaded",
+        "_proposed_for",
+        "_residency",
+        "_store",
+        "book",
+        "inventory",
+        "plans",
+        "relay",
+    )
+
+    def __init__(
+        self, context: Context, previous: "Term | None" = None
+    ) -> None:
+        """Starts a term.
+
+        Args:
+          context: What the term shares with its process.
+          previous: The term before an outage of the key-value service, whose
+            assignment is granted on if the service fails again at once.
+        """
+        self._context = context
+        self.book = ownership.OwnershipBook()
+        self.relay = relay.Relay(context.state)
+        self.inventory: inventory.Inventory | None = None
+        self.plans = planning.PlanBook(context.planner, context.render)
+        centre, service = context.data_centre, context.key_value
+        self._store = ownership.OwnershipStore(centre, service, context.rng)
+        self._applied = relay.AppliedWriter(centre, service)
+        self._residency = residency.ResidencyBook(centre, service)
+        self._loaded = False
+        self._adopted = False
+        self._document = b""
+        self._proposed_for: object = None
+        if previous is not None:
+            self.book.take_over(
+                previous.book.epoch, previous.book.owners, self._now()
+            )
+            self.inventory = previous.inventory
+            self.plans.progress = previous.plans.progress
+
+    async def run(self) -> None:
+        """Leads until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for duty in (
+                self._follow_inventory,
+                self._follow_configuration,
+                self._assign,
+                self._flush,
+                self._publish,
+            ):
+                group.create_task(duty())
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _fence(self) -> keyvalue.Compare:
+        key = leadership.leader_key(self._context.data_centre)
+        return keyvalue.Compare(key, self._context.leadership.key_revision)
+
+    def _may_order(self) -> bool:
+        return self._context.leadership.may_order(self._now())
+
+    async def _follow_inventory(self) -> None:
+        while True:
+            document = await self._context.inventory_source()
+            if not isinstance(document, errors.Failure):
+                try:
+                    self._take_inventory(inventory.parse(document))
+                except msgspec.DecodeError:
+                    pass  # The last valid document stays in force.
+            await asyncio.sleep(INVENTORY_INTERVAL_S)
+
+    def _take_inventory(self, found: inventory.Inventory) -> None:
+        if self.inventory and found.version < self.inventory.version:
+            return
+        self.inventory = found
+        own = [
+            i
+            for i in found.instances
+            if i.data_centre == self._context.data_centre
+        ]
+        self._context.members.listed(
+            {i.name: i.state for i in own}, self._now()
+        )
+        addresses = [i.entry_peer for i in own]
+        addresses += [
+            i.control_peer for i in own if i.name != self._context.instance
+        ]
+        self._context.set_peers(addresses)
+        # Targets of other data centres are left out: at 12,000 targets they
+        # would take most of a node's control traffic.
+        document = msgspec.json.encode(
+            msgspec.structs.replace(
+                found,
+                version=0,
+                targets=found.in_data_centre(self._context.data_centre),
+            )
+        )
+        if document != self._document:
+            self._document = document
+            self._broadcast(self._inventory_update())
+
+    def _inventory_update(self) -> messages.InventoryUpdate:
+        assert self.inventory is not None
+        return messages.InventoryUpdate(self.inventory.version, self._document)
+
+    def _broadcast(self, message: messages.Message) -> None:
+        for process, link in self._context.links.items():
+            if process.role == "entry":
+                link.offer(message)
+
+    async def _follow_configuration(self) -> None:
+        retry_s = RETRY_S
+        while True:
+            failure = await self._watch()
+            if failure is None:
+                retry_s = RETRY_S
+            await asyncio.sleep(retry_s * self._context.rng.uniform(0.5, 1.0))
+            retry_s = min(2 * retry_s, MAX_RETRY_S)
+
+    async def _watch(self) -> errors.Failure | None:
+        """Reads the configuration and watches it; None if the watch ran."""
+        service = self._context.key_value
+        result = await service.range(relay.PREFIX)
+        if isinstance(result, errors.Failure):
+            return result
+        documents = {v.key: v.value for v in result.values}
+        self.relay.load(result.revision, documents)
+        self._apply_own()
+        centres = self.inventory.regions if self.inventory else {}
+        changed = await self._residency.load(centres)
+        if isinstance(changed, errors.Failure):
+            return changed
+        for message in changed:
+            self._broadcast(message)
+        watch = service.watch(WATCHED_PREFIX, result.revision + 1)
+        async for events in watch:
+            if isinstance(events, errors.Failure):
+                break
+            self.relay.record(
+                e for e in events if e.key.startswith(relay.PREFIX)
+            )
+            self._apply_own()
+            for message in self._residency.record(events):
+                self._broadcast(message)
+        return None
+
+    def _apply_own(self) -> None:
+        state = self._context.state
+        if self.relay.revision > state.revision or not state.fresh:
+            state.receive(
+                messages.Snapshot(self.relay.revision, self.relay.documents)
+            )
+
+    async def _flush(self) -> None:
+        while True:
+            now = self._now()
+            for process, link in list(self._context.links.items()):
+                message = self.relay.due(process, now)
+                if message is not None and link.offer(message):
+                    self.relay.sent(process, now)
+            self._plan(now)
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+
+    async def _publish(self) -> None:
+        while True:
+            await asyncio.sleep(PUBLISH_INTERVAL_S)
+            if not self._may_order() or self.inventory is None:
+                continue
+            own = membership.Process(self._context.instance, "control")
+            self.relay.heard(own, self._context.state.revision)
+            required = self._context.members.required() | {own}
+            confirmed = self.relay.confirmed(required)
+            await self._applied.publish(confirmed, self._fence(), self._now())
+            await self._residency.publish(
+                self.plans.progress.values(), self._fence(), self._now()
+            )
+
+    async def _assign(self) -> None:
+        retry_s = OWNERSHIP_INTERVAL_S
+        while True:
+            if await self._assign_once():
+                retry_s = OWNERSHIP_INTERVAL_S
+            else:
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
+            await asyncio.sleep(retry_s)
+
+    async def _assign_once(self) -> bool:
+        """Adapts the owners; returns False when a call failed."""
+        usable = self._context.members.usable("entry", self._now())
+        if not self._may_order():
+            if self._context.leadership.role == leadership.Role.FROZEN:
+                self.book.substitute(usable)
+            return True
+        if not self._loaded:
+            stored = await self._store.load()
+            if isinstance(stored, errors.Failure):
+                return False
+            if isinstance(await self._applied.load(), errors.Failure):
+                return False
+            self.book.take_over(stored.epoch, stored.owners, self._now())
+            self._loaded = True
+        if self.inventory is None:
+            return True
+        targets = [
+            t.name
+            for t in self.inventory.in_data_centre(self._context.data_centre)
+        ]
+        situation = (usable, targets, self.book.epoch)
+        if situation == self._proposed_for and not self.book.moving:
+            return True
+        owners = self.book.propose(targets, usable, self._now())
+        if owners is None and not self._adopted:
+            owners = self.book.owners  # A term starts with a new epoch.
+        if owners is None:
+            self._proposed_for = situation
+            return True
+        return await self._write(owners)
+
+    async def _write(self, owners: dict[str, str]) -> bool:
+        if not self._may_order():
+            return True
+        epoch = self.book.epoch + 1
+        failure = await self._store.store(epoch, owners, self._fence())
+        if failure is not None:
+            if failure.reason == errors.Reason.CONFLICT:
+                self._loaded = False
+            return False
+        self.book.adopt(epoch, owners)
+        self._adopted = True
+        return True
+
+    def _grant(
+        self, process: membership.Process, beat: messages.Heartbeat
+    ) -> messages.Message | None:
+        frozen = self._context.leadership.role == leadership.Role.FROZEN
+        if process.role != "entry" or not (
+            self._adopted or (frozen and self.book.epoch > 0)
+        ):
+            return None
+        sharers = max(1, len(self._context.members.members("entry")))
+        return self.book.grant(
+            process.instance,
+            beat,
+            self._now(),
+            self._may_order(),
+            self._context.calls_per_s / sharers,
+        )
+
+    def _plan(self, now: float) -> None:
+        if self.inventory is None or not self._adopted:
+            return
+        situation = (
+            self.inventory.version,
+            self.relay.revision,
+            self.book.epoch,
+        )
+        if not self.plans.due(situation, now) or not self._may_order():
+            return
+        plans = self.plans.plan(
+            situation,
+            self.inventory,
+            self.relay.documents,
+            self.book.owners,
+            now,
+        )
+        for owner, plan in plans.items():
+            link = self._context.links.get(membership.Process(owner, "entry"))
+            if link and self._may_order() and link.offer(plan):
+                self.plans.sent(owner, plan)
+
+    def linked(self, link: peer_links.Link) -> None:
+        """Sends a new entry process what it cannot know."""
+        if link.peer.role != "entry" or self.inventory is None:
+            return
+        self.plans.forget(link.peer.instance)
+        if self._document:
+            link.offer(self._inventory_update())
+        for name, models in self._residency.others.items():
+            link.offer(messages.Residency(name, models))
+
+    def unlinked(self, process: membership.Process) -> None:
+        """Forgets what was sent over a link that has ended."""
+        self.relay.forget(process)
+
+    def receive(
+        self, process: membership.Process, message: messages.Message
+    ) -> messages.Message | None:
+        """Handles a message; returns the answer to send, if any."""
+        match message:
+            case messages.Heartbeat():
+                self.relay.heard(process, message.revision)
+                if message.revision > self.relay.revision and self._frozen():
+                    return messages.Resync(self.relay.revision)
+                return self._grant(process, message)
+            case messages.Applied():
+                self.relay.heard(process, message.revision)
+            case messages.Resync():
+                self.relay.resync(process, message.revision)
+            case messages.Snapshot() if self._frozen():
+                # A member is ahead of a leader cut off from the service.
+                self.relay.load(message.revision, message.documents)
+                self._apply_own()
+            case messages.HandBack():
+                self.book.handed_back(process.instance, message.epoch)
+                self._proposed_for = None
+            case messages.Progress() if message.epoch <= self.book.epoch:
+                self.plans.take(message)
+        return None
+
+    def _frozen(self) -> bool:
+        return self._context.leadership.role == leadership.Role.FROZEN
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,119 @@
+"""Guards the controller that ties coordination together."""
+
+from builders_coordination import run_virtual, started
+
+from carobsail import inventory, keyvalue, messages, residency
+
+
+def test_ready_after_start():
+    """Entries must get configuration and all targets at start (R2, R8)."""
+
+    async def scenario():
+        centre = await started()
+        assert centre.leader()
+        assert set(centre.ordering()) == set(centre.targets)
+        assert all(e.state.fresh for e in centre.entries.values())
+        assert all(c.ready for c in centre.controls.values())
+        await centre.close()
+
+    run_virtual(scenario())
+
+
+def test_change_is_applied_and_recorded():
+    """Acceptance must follow from all processes within 9 s (R8)."""
+
+    async def scenario():
+        centre = await started()
+        revision = await centre.change(1)
+        await centre.run(3)
+        assert centre.in_force(revision)
+        assert await centre.stored("applied") == [{"revision": revision}]
+        centre.states["silent"] = inventory.State.LIVE
+        centre.version += 1
+        await centre.run(2)
+        await centre.change(2)
+        await centre.run(5)
+        assert await centre.stored("applied") == [{"revision": revision}]
+        await centre.close()
+
+    run_virtual(scenario())
+
+
+def test_plans_reach_owners_only():
+    """A plan at a process that does not own the engine would double orders."""
+
+    def planner(listed, progress, policies, now):
+        return [
+            messages.TargetPlan(t.name, ["m"], "any") for t in listed.targets
+        ]
+
+    async def scenario():
+        centre = await started(planner=planner)
+        for name, entry in centre.entries.items():
+            plans = [m for m in entry.received if isinstance(m, messages.Plan)]
+            planned = {t.target for t in plans[-1].targets}
+            owned = {t for t, n in centre.ordering().items() if n == [name]}
+            assert planned == owned
+            assert plans[-1].epoch == entry.holder.epoch
+            assert len(plans) <= 3
+        await centre.close()
+
+    run_virtual(scenario())
+
+
+def test_planner_fault_does_not_end_leadership():
+    """A fault in the planner must not cost ownership or grants (R13)."""
+
+    def planner(listed, progress, policies, now):
+        raise ValueError("fault")
+
+    async def scenario():
+        centre = await started(planner=planner)
+        assert set(centre.ordering()) == set(centre.targets)
+        await centre.close()
+
+    run_virtual(scenario())
+
+
+def test_residency_is_written_and_relayed():
+    """Spillover needs to know where models are resident (R2)."""
+
+    async def scenario():
+        centre = await started()
+        entry = centre.entries["i0"]
+        progress = messages.Progress(
+            entry.holder.epoch,
+            [
+                messages.TargetProgress(t, ["m"], [], {})
+                for t in centre.targets[:2]
+            ],
+        )
+        for link in entry.links:
+            link.offer(progress)
+        key = residency.residency_key("other")
+        put = keyvalue.Put(key, b'{"n":3}')
+        await centre.service.transact([], [put])
+        await centre.run(4)
+        assert await centre.stored("residency") == [{"m": 2}]
+        assert messages.Residency("other", {"n": 3}) in entry.received
+        await centre.close()
+
+    run_virtual(scenario())
+
+
+def test_stop_hands_over():
+    """A planned stop must not leave a data centre without a leader (R7)."""
+
+    async def scenario():
+        centre = await started()
+        old = centre.leader()
+        control = centre.controls.pop(old)
+        centre.network.stop(f"{old}:2")
+        await control.stop()
+        elapsed = await centre.run_until(centre.leader, 3.0)
+        assert elapsed < 2.0
+        await centre.run(2)
+        assert set(centre.ordering()) == set(centre.targets)
+        await centre.close()
+
+    run_virtual(scenario())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -69,6 +69,18 @@
     server.close()
 
 
+async def test_close_sends_queued_messages():
+    """A lost last heartbeat would delay a planned hand-over (R7)."""
+    server, link, received = await _connect([b"a"], [b"a"])
+    chunks = [messages.Chunk(str(n), bytes(9000)) for n in range(100)]
+    for chunk in chunks:
+        await link.send(chunk)
+    await link.close()
+    server.close()
+    await server.wait_closed()
+    assert received == chunks
+
+
 async def test_unknown_secret_of_server_is_refused():
     """The client must not talk to a process without the secret."""
     server, failure, _ = await _connect([b"evil", b"a"], [b"a"])
