--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from typing import Annotated
 
 import fire
 import msgspec
@@ -29,6 +30,13 @@
 __all__ = ["ControlSettings", "Controller", "main", "serve"]
 
 
+REPORT_INTERVAL_S = 1.0
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+# Shorter secrets could be guessed from one recorded handshake.
+Secret = Annotated[str, msgspec.Meta(min_length=16)]
+
+
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of `carobsail-control`.
 
@@ -44,15 +52,17 @@
       calls_per_s: Key-value call budget of the data centre.
     """
 
-    instance: str
-    data_centre: str
+    instance: Name
+    data_centre: Name
     peer_listen: str
     operator_listen: str
     key_value_url: str
     inventory_url: str
-    peer_secrets: list[str]
+    peer_secrets: Annotated[list[Secret], msgspec.Meta(min_length=1)]
     statsd: str = ""
-    calls_per_s: float = controller.DEFAULT_CALLS_PER_S
+    calls_per_s: Annotated[float, msgspec.Meta(gt=0)] = (
+        controller.DEFAULT_CALLS_PER_S
+    )
 
 
 class _Rendering:
@@ -115,9 +125,13 @@
         httpserver.Bounds(),
         "operator",
     )
+    metrics = telemetry.Metrics(loaded.statsd)
     process.start()
+    reporting = asyncio.create_task(_report(process, metrics))
     await _until_signal(process.failed)
+    reporting.cancel()
     await process.stop()
+    metrics.close()
     server.close()
     await operator.close()
     source.close()
@@ -125,6 +139,15 @@
     return 1 if process.failed.is_set() else 0
 
 
+async def _report(process: Controller, metrics: telemetry.Metrics) -> None:
+    """Sends gauges to statsd."""
+    while True:
+        metrics.gauge("control.leading", float(process.term is not None))
+        metrics.gauge("control.members", len(process.members.members()))
+        metrics.gauge("control.revision", process.state.revision)
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+
 class _Operator:
     """The operator port."""
 
--- /dev/null
+++ b/tests/test_control_program.py
@@ -0,0 +1,107 @@
+"""Guards the control program over TCP, with stand-ins of the platform."""
+
+import asyncio
+import os
+import signal
+import socket
+
+import builders_coordination as build
+import msgspec
+import pytest
+
+from carobsail import (
+    control,
+    httpserver,
+    messages,
+    peers,
+    settings,
+    standin_keyvalue,
+)
+
+SECRET = "0123456789abcdef"
+
+
+def free_port():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+def loaded(key_value, inventory_port):
+    return control.ControlSettings(
+        "i0",
+        "dc",
+        f"127.0.0.1:{free_port()}",
+        f"127.0.0.1:{free_port()}",
+        f"http://{key_value}",
+        f"http://127.0.0.1:{inventory_port}/inventory",
+        [SECRET],
+    )
+
+
+def platform(entry_port):
+    """Returns a handler that serves an inventory with one entry process."""
+    centre = build.Centre(None, targets=3)
+    centre.states["i0"] = "live"
+    document = centre.document().replace(b"i0:1", b"127.0.0.1:%d" % entry_port)
+
+    async def handle(request, responder):
+        await responder.send(200, [], document)
+
+    return handle
+
+
+async def test_process_leads_grants_and_stops_on_sigterm():
+    """SIGTERM must hand over and exit 0; an entry must get a grant (R7)."""
+    standin = standin_keyvalue.KeyValueStandin()
+    await standin.start("127.0.0.1")
+    hello = messages.Hello(1, 1, "i0", "dc", 1, "entry")
+    entry = build.Entry(hello)
+    granted, left = asyncio.Event(), asyncio.Event()
+
+    async def on_link(link):
+        beating = asyncio.create_task(entry.beat())
+        entry.links.add(link)
+        async for message in link:
+            if isinstance(message, messages.Snapshot | messages.Delta):
+                await link.send(entry.state.receive(message))
+            elif isinstance(message, messages.Grant) and message.targets:
+                entry.holder.receive(message)
+                granted.set()
+            elif isinstance(message, messages.Heartbeat) and message.leaving:
+                left.set()
+        beating.cancel()
+
+    server = await peers.serve_peers(
+        "127.0.0.1", 0, hello, [SECRET.encode()], on_link
+    )
+    entry_port = server.sockets[0].getsockname()[1]
+    inventory = await httpserver.serve(
+        "127.0.0.1", 0, platform(entry_port), httpserver.Bounds(), "platform"
+    )
+    values = loaded(standin.address, inventory.port)
+    process = asyncio.create_task(control.serve(values))
+    async with asyncio.timeout(20):
+        await granted.wait()
+        now = asyncio.get_running_loop().time()
+        assert entry.holder.may_order(now)
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert await process == 0
+        await left.wait()
+    stored = await standin.store.range("/carobsail/dc/dc/leader")
+    assert stored.values == ()
+    server.close()
+    await inventory.close()
+    await standin.stop()
+
+
+def test_settings_name_the_fault():
+    """A missing secret must be named before the process starts (R20)."""
+    values = msgspec.to_builtins(loaded("127.0.0.1:1", 1))
+    good = settings.convert("file", values, control.ControlSettings)
+    assert good.calls_per_s > 0
+    for name, value in (("peer_secrets", []), ("calls_per_s", 0)):
+        with pytest.raises(settings.SettingsError, match=name):
+            settings.convert(
+                "file", {**values, name: value}, control.ControlSettings
+            )
