Keep a process linked while one of its links is open

Two control processes that lead in turn each open a link to the other. When the newer one ended, the process lost its entry although the older link was open, and got no more configuration. The entry now falls back to the older link.

--- a/carobsail/controller.py
+++ b/carobsail/controller.py
@@ -240,9 +240,22 @@
         finally:
             self._open.discard(link)
             if self.links.get(process) is link:
-                del self.links[process]
+                self._unlink(process)
+
+    def _unlink(self, process: membership.Process) -> None:
+        """Falls back to another link of the process, if there is one.
+
+        Two leaders that take turns each open a link to the other.
+        """
+        del self.links[process]
+        if self.term is not None:
+            self.term.unlinked(process)
+        for link in self._open:
+            peer = membership.Process(link.peer.instance, link.peer.role)
+            if peer == process and not link.closed:
+                self.links[process] = link
                 if self.term is not None:
-                    self.term.unlinked(process)
+                    self.term.linked(link)
 
     def _receive(
         self,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -133,6 +133,25 @@
     run_virtual(scenario())
 
 
+def test_second_link_of_a_process_may_end():
+    """A process must stay in the relay while one of its links is open (R8)."""
+
+    async def scenario():
+        centre = await started(count=2)
+        leader, other = centre.leader(), centre.followers()[0]
+        back = centre.network.connector(centre.controls[other].hello)
+        second = await back(f"{leader}:2")
+        await centre.run(1)
+        second.cut()
+        await centre.run(1)
+        revision = await centre.change(1)
+        await centre.run(2)
+        assert centre.in_force(revision)
+        await centre.close()
+
+    run_virtual(scenario())
+
+
 async def apply_fault(centre, fault, number):
     """Applies one fault to the instance with this number."""
     name = f"i{number}"
