Add the owner's side of a target

Cause: an owned target needs a queue, adapter loads that overlap queueing, one relay that resumes broken streams, and crash detection.

--- /dev/null
+++ b/carobsail/answers.py
@@ -0,0 +1,175 @@
+"""Sends a request to a target and relays its answer."""
+
+import abc
+import asyncio
+import dataclasses
+import enum
+
+from carobsail import (
+    attempts,
+    engines,
+    errors,
+    eventstream,
+    flights,
+    messages,
+    telemetry,
+)
+
+MAX_RESUMES = 2
+_EVENT_STREAM = "text/event-stream"
+
+
+class Sender(abc.ABC):
+    """What the relay needs of a target's client."""
+
+    @abc.abstractmethod
+    async def send(
+        self, request: messages.Dispatch
+    ) -> engines.AnswerStream | errors.Failure:
+        """Sends a request and returns its answer once the head arrived."""
+
+    @abc.abstractmethod
+    async def resume(
+        self, request: messages.Dispatch, last_event: str
+    ) -> engines.AnswerStream | errors.Failure:
+        """Continues a stream after an event."""
+
+    @abc.abstractmethod
+    async def cancel(self, attempt: str) -> errors.Failure | None:
+        """Tells the target that an answer is no longer wanted."""
+
+    @abc.abstractmethod
+    async def incarnation(self) -> int | errors.Failure:
+        """Returns a number that differs at each start of the target."""
+
+
+def after_start(
+    request: messages.Dispatch, failure: errors.Failure
+) -> errors.Failure:
+    """Returns the failure of a request that the target may have started."""
+    outcome = errors.Outcome.FAILED
+    if not request.idempotent:
+        outcome = errors.Outcome.UNKNOWN
+    return dataclasses.replace(failure, outcome=outcome)
+
+
+async def relay(
+    sender: Sender,
+    flight: flights.Flight,
+    sink: attempts.Sink,
+    target: str,
+    metrics: telemetry.Metrics,
+) -> errors.Failure | None:
+    """Sends a request and passes its answer to `sink`.
+
+    Args:
+      sender: Client of the target.
+      flight: The attempt.
+      sink: Takes the answer; when it wants no more, the target is told.
+      target: Name of the target.
+      metrics: Counts the resumed streams.
+
+    Returns:
+      None when the answer was passed on or is no longer wanted.
+    """
+    request = flight.request
+    stream = await sender.send(request)
+    if isinstance(stream, errors.Failure):
+        return stream
+    if stream.status >= 500 and request.model:
+        await stream.close()
+        failure = errors.Failure(
+            errors.Reason.TARGET_ERROR,
+            errors.Step.ANSWER,
+            target,
+            detail=f"the target answered with status {stream.status}",
+        )
+        return after_start(request, failure)
+    flight.progress_at = asyncio.get_running_loop().time()
+    headers = [h for h in stream.headers if h[0] == "content-type"]
+    head = messages.Head(request.attempt, stream.status, headers)
+    if not await sink.put(head):
+        await _give_up(sender, request, stream)
+        return None
+    return await _Relay(sender, flight, sink, metrics).run(stream)
+
+
+async def _give_up(
+    sender: Sender, request: messages.Dispatch, stream: engines.AnswerStream
+) -> None:
+    await stream.close()
+    await sender.cancel(request.attempt)
+
+
+class _End(enum.Enum):
+    """How a stream ended without a failure."""
+
+    WHOLE = enum.auto()
+    UNWANTED = enum.auto()
+
+
+class _Relay:
+    """Passes one answer on and resumes a stream that broke."""
+
+    __slots__ = ("_cursor", "_flight", "_length", "_metrics", "_sender",
+                 "_sink")  # fmt: skip
+
+    def __init__(
+        self,
+        sender: Sender,
+        flight: flights.Flight,
+        sink: attempts.Sink,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._sender = sender
+        self._flight = flight
+        self._sink = sink
+        self._metrics = metrics
+        self._cursor: eventstream.EventCursor | None = None
+        self._length = 0
+
+    async def run(self, stream: engines.AnswerStream) -> errors.Failure | None:
+        request = self._flight.request
+        if any(_EVENT_STREAM in value for _, value in stream.headers):
+            self._cursor = eventstream.EventCursor()
+        resumes = 0
+        while True:
+            ended = await self._pass_on(stream)
+            if ended is _End.WHOLE:
+                await self._sink.put(
+                    messages.End(request.attempt, self._length)
+                )
+                return None
+            if ended is _End.UNWANTED:
+                await _give_up(self._sender, request, stream)
+                return None
+            assert isinstance(ended, errors.Failure)
+            last_event = self._cursor.last_event() if self._cursor else ""
+            if not last_event or resumes == MAX_RESUMES:
+                return after_start(request, ended)
+            resumes += 1
+            self._metrics.count("resumes")
+            assert self._cursor is not None
+            self._cursor.restart()
+            resumed = await self._sender.resume(request, last_event)
+            if isinstance(resumed, errors.Failure):
+                return after_start(request, ended)
+            stream = resumed
+
+    async def _pass_on(
+        self, stream: engines.AnswerStream
+    ) -> "errors.Failure | _End":
+        attempt = self._flight.request.attempt
+        loop = asyncio.get_running_loop()
+        cursor = self._cursor
+        async for chunk in stream.chunks():
+            if isinstance(chunk, errors.Failure):
+                return chunk
+            self._flight.progress_at = loop.time()
+            data = cursor.feed(chunk) if cursor else chunk
+            if not data:
+                continue
+            self._length += len(data)
+            if not await self._sink.put(messages.Chunk(attempt, data)):
+                return _End.UNWANTED
+        return _End.WHOLE
--- /dev/null
+++ b/carobsail/dispatcher.py
@@ -0,0 +1,82 @@
+"""Requests that this instance runs at the targets that it owns."""
+
+import asyncio
+from collections.abc import Callable
+
+from carobsail import attempts, errors, flights, messages, targetrunner
+
+
+class Dispatcher:
+    """Runners of the owned targets, and the attempts under way.
+
+    Attributes:
+      runners: Runner by target.
+    """
+
+    __slots__ = ("_tasks", "_watch", "runners")
+
+    def __init__(self) -> None:
+        self.runners: dict[str, targetrunner.TargetRunner] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def dispatch(self, request: messages.Dispatch, sink: attempts.Sink) -> None:
+        """Starts an attempt; its answer or failure goes to `sink`.
+
+        A second message with the same attempt identifier is ignored, so that
+        a doubled message runs nothing twice.
+        """
+        if request.attempt in self._tasks:
+            return
+        task = asyncio.create_task(self._run(request, sink))
+        self._tasks[request.attempt] = task
+        task.add_done_callback(lambda _: self._tasks.pop(request.attempt))
+
+    async def _run(
+        self, request: messages.Dispatch, sink: attempts.Sink
+    ) -> None:
+        runner = self.runners.get(request.target)
+        if runner is None:
+            failure = errors.Failure(
+                errors.Reason.NOT_OWNER, errors.Step.ADMIT, request.target
+            )
+            await sink.put(
+                messages.Failed.from_failure(request.attempt, failure)
+            )
+            return
+        await runner.run(request, sink)
+
+    def cancel(self, attempt: str) -> None:
+        """Gives up an attempt."""
+        task = self._tasks.get(attempt)
+        if task is not None:
+            task.cancel()
+
+    def loads(
+        self, models_of: Callable[[str], list[str]]
+    ) -> list[messages.TargetLoad]:
+        """Returns the loads of the owned targets.
+
+        Args:
+          models_of: Returns the models that a target serves now.
+        """
+        return [
+            runner.load(models_of(name))
+            for name, runner in self.runners.items()
+            if runner.owned
+        ]
+
+    async def watch(self) -> None:
+        """Cancels attempts without progress, until cancelled itself."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(flights.WATCH_INTERVAL_S)
+            for runner in self.runners.values():
+                runner.flights.cancel_stalled(loop.time())
+
+    async def drain(self) -> None:
+        """Waits until no attempt is under way."""
+        while self._tasks:
+            await asyncio.wait(list(self._tasks.values()))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,11 +1,11 @@
 """Guards the rules of one caller request (R3, R4, R5)."""
 
+import builders
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from carobsail import errors, exchange
-import builders
 
 EVENT = b"id: 1\ndata: x\n\n"
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,10 +2,10 @@
 
 import json
 
+import builders
 import pytest
 
 from carobsail import errors, requests
-import builders
 
 
 @pytest.mark.parametrize(
