Add forwarding of callers' requests and the target directory

Cause: an instance must choose a target from what it knows exactly and from lagging reports, and see a request through retries and resumes. Change: directory builds the router's views; forwarder runs attempts, collects answers that are not streamed so that a cut one can rerun, and resumes a stream through a new owner.

--- a/carobsail/answers.py
+++ b/carobsail/answers.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from carobsail import (
     attempts,
     engines,
@@ -73,7 +75,7 @@
       None when the answer was passed on or is no longer wanted.
     """
     request = flight.request
-    stream = await sender.send(request)
+    stream = await _open(sender, request)
     if isinstance(stream, errors.Failure):
         return stream
     if stream.status >= 500 and request.model:
@@ -94,11 +96,26 @@
     return await _Relay(sender, flight, sink, metrics).run(stream)
 
 
+async def _open(
+    sender: Sender, request: messages.Dispatch
+) -> engines.AnswerStream | errors.Failure:
+    if not request.resume_of:
+        return await sender.send(request)
+    return await sender.resume(_first(request), request.resume_after)
+
+
+def _first(request: messages.Dispatch) -> messages.Dispatch:
+    """Returns the request under the identifier that the target knows."""
+    if not request.resume_of:
+        return request
+    return msgspec.structs.replace(request, attempt=request.resume_of)
+
+
 async def _give_up(
     sender: Sender, request: messages.Dispatch, stream: engines.AnswerStream
 ) -> None:
     await stream.close()
-    await sender.cancel(request.attempt)
+    await sender.cancel(_first(request).attempt)
 
 
 class _End(enum.Enum):
@@ -151,7 +168,7 @@
             self._metrics.count("resumes")
             assert self._cursor is not None
             self._cursor.restart()
-            resumed = await self._sender.resume(request, last_event)
+            resumed = await self._sender.resume(_first(request), last_event)
             if isinstance(resumed, errors.Failure):
                 return after_start(request, ended)
             stream = resumed
--- /dev/null
+++ b/carobsail/directory.py
@@ -0,0 +1,291 @@
+"""What an entry instance knows of the targets it may send requests to."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from carobsail import (
+    dispatcher,
+    estimation,
+    inventory,
+    messages,
+    prefixes,
+    requests,
+    routing,
+)
+
+# Expected answer bytes of a streamed token, for the region link.
+BYTES_PER_TOKEN = 200
+# A gateway's rejection is remembered for this long.
+REJECTION_S = 1.0
+# Service time assumed in another data centre, whose loads are not reported.
+REMOTE_SLOTS = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Remote:
+    models: dict[str, int] = dataclasses.field(default_factory=dict)
+    wait_s: float = 0.0
+    wait_until: float = float("-inf")
+
+
+class TargetDirectory:
+    """Targets of the data centre, and data centres that serve a model.
+
+    Attributes:
+      data_centre: The instance's data centre.
+      listed: The inventory, once known.
+      adapter_models: Model of each adapter.
+    """
+
+    __slots__ = (
+        "_dispatcher",
+        "_gateways",
+        "_loads",
+        "_models_of",
+        "_prefixes",
+        "_remotes",
+        "_reported",
+        "_speeds",
+        "_targets",
+        "adapter_models",
+        "data_centre",
+        "listed",
+    )
+
+    def __init__(
+        self,
+        data_centre: str,
+        owned: dispatcher.Dispatcher,
+        models_of: Callable[[str], list[str]],
+        speeds: estimation.Speeds,
+        index: prefixes.PrefixIndex,
+    ) -> None:
+        """Creates an empty directory.
+
+        Args:
+          data_centre: The instance's data centre.
+          owned: Runners of the owned targets.
+          models_of: Returns the models that an owned target serves now.
+          speeds: Learned speeds.
+          index: Prefix cache index.
+        """
+        self.data_centre = data_centre
+        self.listed: inventory.Inventory | None = None
+        self.adapter_models: dict[str, str] = {}
+        self._dispatcher = owned
+        self._models_of = models_of
+        self._speeds = speeds
+        self._prefixes = index
+        self._reported = estimation.ReportedWork()
+        self._loads: dict[str, tuple[str, messages.TargetLoad]] = {}
+        self._targets: dict[str, inventory.Target] = {}
+        self._remotes: dict[str, _Remote] = {}
+        self._gateways: Callable[[str], bool] = lambda _: False
+
+    def set_gateways(self, reachable: Callable[[str], bool]) -> None:
+        """Sets the function that tells whether a data centre is reachable."""
+        self._gateways = reachable
+
+    def update_inventory(self, listed: inventory.Inventory) -> None:
+        """Takes over a newer inventory."""
+        if self.listed and listed.version <= self.listed.version:
+            return
+        self.listed = listed
+        self.adapter_models = {a.name: a.model for a in listed.adapters}
+        own = listed.in_data_centre(self.data_centre)
+        self._targets = {target.name: target for target in own}
+
+    def target(self, name: str) -> inventory.Target | None:
+        """Returns a target of the own data centre."""
+        return self._targets.get(name)
+
+    def report(self, owner: str, loads: messages.Loads, now: float) -> None:
+        """Takes over the loads that an owner reports."""
+        if loads.full:
+            self.forget(owner)
+        for load in loads.targets:
+            self._loads[load.target] = (owner, load)
+            self._reported.report(
+                load.target, load.in_flight, load.queued_tokens, now
+            )
+
+    def forget(self, owner: str) -> None:
+        """Forgets the loads reported by an instance that is gone."""
+        for name, (reporter, _) in list(self._loads.items()):
+            if reporter == owner:
+                del self._loads[name]
+
+    def reside(self, message: messages.Residency) -> None:
+        """Takes over the resident models of another data centre."""
+        if message.data_centre != self.data_centre:
+            remote = self._remotes.setdefault(message.data_centre, _Remote())
+            remote.models = message.models
+
+    def rejected(self, data_centre: str, wait_s: float, now: float) -> None:
+        """Remembers that another data centre rejected a request."""
+        remote = self._remotes.setdefault(data_centre, _Remote())
+        remote.wait_s = max(REJECTION_S, wait_s)
+        remote.wait_until = now + REJECTION_S
+
+    def sent(self, target: str, attempt: str, tokens: float) -> None:
+        """Counts a sending to another owner's target until it reports."""
+        self._reported.sent(target, attempt, tokens)
+
+    def ended(self, target: str, attempt: str) -> None:
+        """Forgets a sending that ended."""
+        self._reported.ended(target, attempt)
+
+    def owner_of(self, target: str) -> str | None:
+        """Returns the instance that reported the target's load last."""
+        if target in self._dispatcher.runners:
+            return None
+        owner_load = self._loads.get(target)
+        return owner_load[0] if owner_load else None
+
+    def reachable_models(self) -> set[str]:
+        """Returns the models that are resident somewhere known."""
+        found: set[str] = set()
+        for name in self._dispatcher.runners:
+            found.update(self._models_of(name))
+        for _, load in self._loads.values():
+            found.update(load.models)
+        for remote in self._remotes.values():
+            found.update(remote.models)
+        return found
+
+    def views(
+        self,
+        request: requests.CallerRequest,
+        output_tokens: float,
+        now: float,
+        remote: bool,
+    ) -> list[routing.TargetView]:
+        """Returns the targets that serve the request's model or service.
+
+        Args:
+          request: The request.
+          output_tokens: Expected output length.
+          now: Loop time in seconds.
+          remote: Whether other data centres are included.
+        """
+        wanted = request.operation.service or request.model
+        blocks: tuple[int, ...] = ()
+        if request.model:
+            blocks = prefixes.hash_blocks(
+                request.model, request.adapter, request.prompt.encode()
+            )
+        found = [
+            self._view(target, request, output_tokens, blocks, now)
+            for target in self._targets.values()
+            if wanted in self._served(target)
+        ]
+        if remote and request.model:
+            found.extend(self._remote_views(request, output_tokens, now))
+        return found
+
+    def _served(self, target: inventory.Target) -> Iterable[str]:
+        if target.kind is inventory.Kind.SERVICE:
+            return (target.pool,)
+        if target.name in self._dispatcher.runners:
+            return self._models_of(target.name)
+        owner_load = self._loads.get(target.name)
+        return owner_load[1].models if owner_load else ()
+
+    def _view(
+        self,
+        target: inventory.Target,
+        request: requests.CallerRequest,
+        output_tokens: float,
+        blocks: tuple[int, ...],
+        now: float,
+    ) -> routing.TargetView:
+        runner = self._dispatcher.runners.get(target.name)
+        adapters: Iterable[str]
+        if runner is not None:
+            backlog = runner.work.backlog(now)
+            adapters = runner.resident_adapters()
+            serving = runner.serving
+        else:
+            backlog = self._reported.backlog(target, now)
+            owner_load = self._loads.get(target.name)
+            adapters = owner_load[1].adapters if owner_load else ()
+            serving = owner_load is not None and owner_load[1].serving
+        resident = frozenset(adapters)
+        load_s = self._adapter_load_s(request.adapter, resident)
+        cached = self._prefixes.cached_share(target.name, blocks)
+        speed = self._speeds.factor(target.name, request.model)
+        work = estimation.Work(
+            request.prompt_tokens, output_tokens, cached, load_s
+        )
+        cold_tokens = request.prompt_tokens * (1.0 - cached)
+        return routing.TargetView(
+            name=target.name,
+            models=frozenset((request.operation.service or request.model,)),
+            prediction=estimation.predict(target, backlog, work, speed),
+            adapters=resident,
+            cold_prompt_s=cold_tokens / target.prefill_tokens_per_s,
+            in_flight=backlog.in_flight,
+            slots=target.slots,
+            serving=serving,
+            leaving=target.state is inventory.State.LEAVING,
+            demoted=self._speeds.is_slow(target.name, request.model),
+        )
+
+    def _adapter_load_s(self, adapter: str, resident: frozenset[str]) -> float:
+        if not adapter or adapter in resident or self.listed is None:
+            return 0.0
+        for listed in self.listed.adapters:
+            if listed.name == adapter:
+                return listed.load_ms / 1000
+        return 0.0
+
+    def _remote_views(
+        self,
+        request: requests.CallerRequest,
+        output_tokens: float,
+        now: float,
+    ) -> list[routing.TargetView]:
+        found = []
+        for name, remote in self._remotes.items():
+            if not remote.models.get(request.model):
+                continue
+            if not self._gateways(name):
+                continue
+            wait_s = remote.wait_s if now < remote.wait_until else 0.0
+            found.append(
+                self._remote_view(name, wait_s, request, output_tokens)
+            )
+        return found
+
+    def _remote_view(
+        self,
+        data_centre: str,
+        wait_s: float,
+        request: requests.CallerRequest,
+        output_tokens: float,
+    ) -> routing.TargetView:
+        assert self.listed is not None
+        # All engines are listed with rates; any of the model's pool will do.
+        engine = next(
+            t for t in self.listed.targets if t.kind is inventory.Kind.ENGINE
+        )
+        work = estimation.Work(request.prompt_tokens, output_tokens)
+        backlog = estimation.Backlog(0, wait_s)
+        near = self.listed.same_region(self.data_centre, data_centre)
+        latency_ms = (
+            self.listed.centre_latency_ms
+            if near
+            else self.listed.region_latency_ms
+        )
+        bytes_per_s = self.listed.region_link_mbit_per_s * 1e6 / 8
+        return routing.TargetView(
+            name=data_centre,
+            models=frozenset((request.model,)),
+            prediction=estimation.predict(engine, backlog, work),
+            slots=REMOTE_SLOTS,
+            path=routing.Path(
+                latency_s=latency_ms / 1000,
+                bytes_per_s=bytes_per_s if not near else 1.25e9,
+                billed=not near,
+            ),
+        )
--- a/carobsail/dispatcher.py
+++ b/carobsail/dispatcher.py
@@ -46,7 +46,21 @@
                 messages.Failed.from_failure(request.attempt, failure)
             )
             return
-        await runner.run(request, sink)
+        try:
+            await runner.run(request, sink)
+        except Exception as error:
+            # A bug must not leave the caller without an answer.
+            failure = errors.Failure(
+                errors.Reason.TARGET_ERROR,
+                errors.Step.SEND,
+                request.target,
+                errors.Outcome.UNKNOWN,
+                f"{type(error).__name__}: {error}",
+            )
+            await sink.put(
+                messages.Failed.from_failure(request.attempt, failure)
+            )
+            raise
 
     def cancel(self, attempt: str) -> None:
         """Gives up an attempt."""
--- a/carobsail/exchange.py
+++ b/carobsail/exchange.py
@@ -39,9 +39,11 @@
       state: Present state.
       attempt: Identifier of the attempt that may deliver, or empty.
       target: Target of that attempt.
-      attempts: Number of attempts begun.
+      attempt_ids: Identifiers of all attempts begun.
       dropped: Messages of other attempts that were dropped.
       delivered: Answer bytes passed to the caller.
+      streamed_by: Attempt that began the streamed answer.
+      events: Events of a streamed answer passed to the caller.
       first_byte_at: Loop time of the first answer byte, if any.
       cursor: Position in a streamed answer.
     """
@@ -51,9 +53,11 @@
     state: State = State.WAITING
     attempt: str = ""
     target: str = ""
-    attempts: int = 0
+    attempt_ids: list[str] = dataclasses.field(default_factory=list)
     dropped: int = 0
     delivered: int = 0
+    streamed_by: str = ""
+    events: int = 0
     first_byte_at: float | None = None
     cursor: eventstream.EventCursor = dataclasses.field(
         default_factory=eventstream.EventCursor
@@ -66,6 +70,11 @@
         """Loop time at which the whole answer is due, in seconds."""
         return self.arrival + self.request.due_s
 
+    @property
+    def attempts(self) -> int:
+        """Number of attempts begun."""
+        return len(self.attempt_ids)
+
     @property
     def idempotent(self) -> bool:
         """Whether the operation may run more than once."""
@@ -105,7 +114,7 @@
     def _begin(self, attempt: str, target: str) -> None:
         self.attempt = attempt
         self.target = target
-        self.attempts += 1
+        self.attempt_ids.append(attempt)
         self._received = 0
 
     def accepts(self, attempt: str) -> bool:
@@ -120,25 +129,30 @@
         return False
 
     def receive(self, data: bytes, now: float) -> bytes:
-        """Takes answer bytes of the current attempt.
+        """Takes bytes of a streamed answer.
 
         Args:
           data: Bytes as received.
           now: Loop time in seconds.
 
         Returns:
-          The bytes to deliver: whole events of a streamed answer, all bytes
-          of another one.
+          The bytes to deliver, which end with a whole event.
         """
         self._received += len(data)
-        ready = self.cursor.feed(data) if self.request.stream else data
+        ready = self.cursor.feed(data)
         if ready:
             self.state = State.ANSWERING
             self.delivered += len(ready)
+            self.events += ready.count(b"\n\n")
             if self.first_byte_at is None:
                 self.first_byte_at = now
+                self.streamed_by = self.attempt
         return ready
 
+    def collect(self, data: bytes) -> None:
+        """Counts bytes of an answer that is delivered when it is whole."""
+        self._received += len(data)
+
     def finish(self, length: int) -> errors.Failure | None:
         """Ends the current attempt.
 
@@ -169,8 +183,8 @@
         if failure.outcome is not errors.Outcome.NOT_RUN:
             self._may_have_run = True
         if self.state is State.ANSWERING:
-            can_resume = self.request.stream and self.cursor.last_event()
-            return Action.RESUME if can_resume else Action.GIVE_UP
+            resumable = self.cursor.last_event()
+            return Action.RESUME if resumable else Action.GIVE_UP
         self.state = State.WAITING
         return Action.SEND_AGAIN if self.may_send() else Action.GIVE_UP
 
--- /dev/null
+++ b/carobsail/forwarder.py
@@ -0,0 +1,421 @@
+"""Runs one caller request: route, send, deliver, and retry or resume."""
+
+import abc
+import asyncio
+import dataclasses
+import itertools
+import random
+
+import msgspec
+
+from carobsail import (
+    attempts,
+    directory,
+    errors,
+    estimation,
+    exchange,
+    messages,
+    requests,
+    retries,
+    routing,
+    telemetry,
+)
+
+# A whole answer that is not streamed is held in memory up to this size.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Ownership moves within 6 s of an owner's death.
+RESUME_WAIT_S = 8.0
+RESUME_INTERVAL_S = 0.5
+
+
+class Delivery(abc.ABC):
+    """Takes a streamed answer to the caller."""
+
+    @abc.abstractmethod
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Sends the head."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Sends body bytes."""
+
+
+class Transport(abc.ABC):
+    """Sends attempts to the owners of targets."""
+
+    @abc.abstractmethod
+    def send(
+        self,
+        request: messages.Dispatch,
+        place: str,
+        receiver: attempts.Receiver,
+    ) -> errors.Failure | None:
+        """Sends an attempt; a failure proves that it was not sent.
+
+        Args:
+          request: The attempt.
+          place: Target, or data centre when `request.target` is empty.
+          receiver: Takes the answer.
+        """
+
+    @abc.abstractmethod
+    def cancel(self, place: str, attempt: str) -> None:
+        """Gives up an attempt."""
+
+
+@dataclasses.dataclass(slots=True)
+class Streamed:
+    """The answer was delivered while it came in."""
+
+    status: int
+
+
+class Forwarder:
+    """Runs the requests of one instance's callers.
+
+    Attributes:
+      receivers: Receivers of the attempts under way.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_directory",
+        "_lengths",
+        "_metrics",
+        "_numbers",
+        "_policy",
+        "_prefix",
+        "_rng",
+        "_transport",
+        "receivers",
+    )
+
+    def __init__(
+        self,
+        prefix: str,
+        targets: directory.TargetDirectory,
+        policy: routing.RoutingPolicy,
+        transport: Transport,
+        metrics: telemetry.Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Creates a forwarder.
+
+        Args:
+          prefix: Start of attempt identifiers, unique to this process.
+          targets: Known targets.
+          policy: Routing policy.
+          transport: Sends attempts.
+          metrics: Counts and timings.
+          rng: Source of the backoff's jitter.
+        """
+        self.receivers = attempts.Receivers()
+        self._prefix = prefix
+        self._directory = targets
+        self._policy = policy
+        self._transport = transport
+        self._metrics = metrics
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._budget = retries.RetryBudget()
+        self._lengths = estimation.OutputLengths()
+
+    def expected_wait_s(
+        self, request: requests.CallerRequest, now: float
+    ) -> float:
+        """Returns the least predicted wait at any target, in seconds."""
+        views = self._directory.views(
+            request, self._expect(request), now, remote=False
+        )
+        waits = [v.prediction.start_s for v in views if v.serving]
+        return min(waits, default=0.0)
+
+    async def run(
+        self, subject: exchange.Exchange, delivery: Delivery
+    ) -> messages.StoredAnswer | Streamed | errors.Failure:
+        """Runs a request to its end.
+
+        Args:
+          subject: The exchange, without attempts.
+          delivery: Takes the answer if the caller asked for a stream.
+
+        Returns:
+          The whole answer, `Streamed` when it was delivered already, or the
+          failure that the caller sees.
+        """
+        account = subject.request.policy.account
+        self._budget.count_request(account)
+        excluded: set[str] = set()
+        while True:
+            result = await self._attempt(subject, frozenset(excluded), delivery)
+            if not isinstance(result, errors.Failure):
+                self._learn(subject, result)
+                return result
+            failed_target = subject.target
+            action = subject.fail_attempt(result)
+            if action is exchange.Action.RESUME:
+                resumed = await self._resume(subject, failed_target, delivery)
+                if not isinstance(resumed, errors.Failure):
+                    return resumed
+                return subject.conclude(resumed)
+            if action is exchange.Action.GIVE_UP:
+                return subject.conclude(result)
+            delay_s = self._delay_s(subject, result)
+            if delay_s is None:
+                return subject.conclude(result)
+            excluded.add(failed_target)
+            self._metrics.count("retries")
+            await asyncio.sleep(delay_s)
+
+    def _delay_s(
+        self, subject: exchange.Exchange, failure: errors.Failure
+    ) -> float | None:
+        """Returns seconds before the next attempt, or None to give up."""
+        attempted = retries.Attempted(
+            failure=failure,
+            account=subject.request.policy.account,
+            idempotent=subject.idempotent,
+            delivered=subject.delivered > 0,
+            attempts=subject.attempts,
+            time_left_s=subject.due - _now(),
+        )
+        decision = retries.decide(attempted, self._budget, self._rng)
+        if isinstance(decision, retries.Retry):
+            return decision.delay_s
+        self._metrics.count(f"retry_refused.{decision}")
+        return None
+
+    async def _attempt(
+        self,
+        subject: exchange.Exchange,
+        excluded: frozenset[str],
+        delivery: Delivery,
+    ) -> messages.StoredAnswer | Streamed | errors.Failure:
+        view = self._choose(subject, excluded)
+        if isinstance(view, errors.Failure):
+            subject.target = ""
+            return view
+        attempt = self._next_attempt()
+        subject.begin(attempt, view.name)
+        target = "" if view.path is not None else view.name
+        finish_s = view.prediction.finish_s
+        dispatch = self._describe(subject, attempt, target, finish_s)
+        return await self._exchange(subject, dispatch, view.name, delivery)
+
+    def _next_attempt(self) -> str:
+        return f"{self._prefix}-{next(self._numbers)}"
+
+    def _choose(
+        self, subject: exchange.Exchange, excluded: frozenset[str]
+    ) -> routing.TargetView | errors.Failure:
+        now = _now()
+        request = subject.request
+        tokens = self._expect(request)
+        # A non-idempotent operation stays in its data centre: a link between
+        # data centres that breaks would leave its outcome unknown.
+        views = self._directory.views(
+            request, tokens, now, remote=subject.idempotent
+        )
+        route = routing.RouteRequest(
+            model=request.operation.service or request.model,
+            due_at=subject.due,
+            first_token_due_at=subject.arrival
+            + request.operation.first_token_ms / 1000,
+            adapter=request.adapter,
+            body_bytes=len(request.body),
+            answer_bytes=int(tokens * directory.BYTES_PER_TOKEN),
+            excluded=excluded,
+        )
+        chosen = self._policy.choose(route, views, now)
+        if isinstance(chosen, errors.Failure) and excluded:
+            route = dataclasses.replace(route, excluded=frozenset())
+            chosen = self._policy.choose(route, views, now)
+        return chosen
+
+    def _expect(self, request: requests.CallerRequest) -> float:
+        return self._lengths.expect(
+            request.policy.account,
+            request.operation.path,
+            request.model,
+            request.output_tokens,
+        )
+
+    def _describe(
+        self,
+        subject: exchange.Exchange,
+        attempt: str,
+        target: str,
+        finish_s: float,
+    ) -> messages.Dispatch:
+        """Returns the message of an attempt predicted to take `finish_s`."""
+        request = subject.request
+        due_in_s = subject.due - _now()
+        slack_s = due_in_s - finish_s
+        return messages.Dispatch(
+            attempt=attempt,
+            target=target,
+            account=request.policy.account,
+            model=request.model,
+            adapter=request.adapter,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            due_in_s=due_in_s,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=int(self._expect(request)),
+            priority=routing.engine_priority(request.policy.priority, slack_s),
+            idempotent=subject.idempotent,
+            fingerprint=request.fingerprint,
+        )
+
+    async def _exchange(
+        self,
+        subject: exchange.Exchange,
+        dispatch: messages.Dispatch,
+        target: str,
+        delivery: Delivery,
+    ) -> messages.StoredAnswer | Streamed | errors.Failure:
+        attempt = dispatch.attempt
+        receiver = self.receivers.open(attempt)
+        tokens = dispatch.prompt_tokens + dispatch.output_tokens
+        self._directory.sent(target, attempt, tokens)
+        finished = False
+        try:
+            unsent = self._transport.send(dispatch, target, receiver)
+            if unsent is not None:
+                finished = True
+                return unsent
+            result = await self._receive(subject, receiver, delivery)
+            finished = True
+            return result
+        finally:
+            self._directory.ended(target, attempt)
+            self.receivers.close(attempt)
+            if not finished:
+                self._transport.cancel(target, attempt)
+
+    async def _receive(
+        self,
+        subject: exchange.Exchange,
+        receiver: attempts.Receiver,
+        delivery: Delivery,
+    ) -> messages.StoredAnswer | Streamed | errors.Failure:
+        head = await receiver.head()
+        if isinstance(head, errors.Failure):
+            return head
+        if subject.request.stream and head.status == 200:
+            return await self._deliver(subject, receiver, head, delivery)
+        return await self._collect(subject, receiver, head)
+
+    async def _deliver(
+        self,
+        subject: exchange.Exchange,
+        receiver: attempts.Receiver,
+        head: messages.Head,
+        delivery: Delivery,
+    ) -> Streamed | errors.Failure:
+        """Passes a stream on while it comes in."""
+        while True:
+            part = await receiver.next()
+            if isinstance(part, errors.Failure):
+                return part
+            if isinstance(part, messages.End):
+                cut = subject.finish(part.length)
+                return cut or Streamed(head.status)
+            started = subject.delivered > 0
+            data = subject.receive(part, _now())
+            if data and not started:
+                await delivery.start(head.status, head.headers)
+            if data:
+                await delivery.write(data)
+
+    async def _collect(
+        self,
+        subject: exchange.Exchange,
+        receiver: attempts.Receiver,
+        head: messages.Head,
+    ) -> messages.StoredAnswer | errors.Failure:
+        """Holds an answer until it is whole, so that a cut one can rerun."""
+        parts: list[bytes] = []
+        length = 0
+        while True:
+            part = await receiver.next()
+            if isinstance(part, errors.Failure):
+                return part
+            if isinstance(part, messages.End):
+                break
+            parts.append(part)
+            subject.collect(part)
+            length += len(part)
+            if length > MAX_ANSWER_BYTES:
+                return errors.Failure(
+                    errors.Reason.BODY_TOO_LARGE,
+                    errors.Step.ANSWER,
+                    subject.target,
+                    errors.Outcome.FAILED,
+                    f"the answer exceeds {MAX_ANSWER_BYTES} bytes",
+                )
+        subject.first_byte_at = _now()
+        cut = subject.finish(part.length)
+        if cut is not None:
+            return cut
+        body = b"".join(parts)
+        return messages.StoredAnswer(head.status, head.headers, body)
+
+    async def _resume(
+        self, subject: exchange.Exchange, target: str, delivery: Delivery
+    ) -> Streamed | errors.Failure:
+        """Continues a stream through the target's present owner.
+
+        The owner resumes broken engine connections itself; this is for an
+        owner that was lost. Another one takes over the target within
+        seconds, and the engine still holds the stream.
+        """
+        wait_until = _now() + RESUME_WAIT_S
+        while True:
+            attempt = self._next_attempt()
+            subject.resume(attempt, target)
+            dispatch = msgspec.structs.replace(
+                self._describe(subject, attempt, target, 0.0),
+                resume_of=subject.streamed_by,
+                resume_after=subject.cursor.last_event(),
+            )
+            result = await self._exchange(subject, dispatch, target, delivery)
+            if isinstance(result, Streamed):
+                self._metrics.count("owner_resumes")
+                self._learn(subject, result)
+                return result
+            assert isinstance(result, errors.Failure)
+            action = subject.fail_attempt(result)
+            if action is not exchange.Action.RESUME or _now() > wait_until:
+                return result
+            await asyncio.sleep(RESUME_INTERVAL_S)
+
+    def _learn(
+        self,
+        subject: exchange.Exchange,
+        result: messages.StoredAnswer | Streamed,
+    ) -> None:
+        request = subject.request
+        now = _now()
+        late_s = now - subject.due
+        self._metrics.count("late" if late_s > 0 else "on_time")
+        self._metrics.time_ms("answer", (now - subject.arrival) * 1000)
+        if subject.first_byte_at is not None:
+            first_s = subject.first_byte_at - subject.arrival
+            self._metrics.time_ms("first_token", first_s * 1000)
+        tokens = subject.events
+        if isinstance(result, messages.StoredAnswer):
+            tokens = requests.completion_tokens(result.body)
+        if request.model and tokens:
+            self._lengths.observe(
+                request.policy.account,
+                request.operation.path,
+                request.model,
+                tokens,
+            )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -56,6 +56,8 @@
       priority: Engine priority; lower is more urgent.
       idempotent: Whether the request may be sent again.
       fingerprint: Hash of body, model and adapter.
+      resume_of: Attempt whose stream is continued, empty for a new request.
+      resume_after: Identifier of the last event that was delivered.
     """
 
     attempt: str
@@ -73,6 +75,8 @@
     priority: int
     idempotent: bool
     fingerprint: str
+    resume_of: str = ""
+    resume_after: str = ""
 
 
 class Head(Message, tag="head", frozen=True):
--- a/carobsail/requests.py
+++ b/carobsail/requests.py
@@ -209,6 +209,25 @@
     return bound if bound and bound > 0 else DEFAULT_OUTPUT_TOKENS
 
 
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: int = 0
+
+
+class _ModelAnswer(msgspec.Struct):
+    usage: _Usage = _Usage()
+
+
+_model_answer_decoder = msgspec.json.Decoder(_ModelAnswer)
+
+
+def completion_tokens(body: bytes) -> int:
+    """Returns the output tokens that a model's answer states, or 0."""
+    try:
+        return _model_answer_decoder.decode(body).usage.completion_tokens
+    except msgspec.DecodeError:
+        return 0
+
+
 def _pass_on(headers: dict[str, str]) -> list[tuple[str, str]]:
     names = ("content-type", "accept")
     return [(name, headers[name]) for name in names if name in headers]
--- a/carobsail/targetrunner.py
+++ b/carobsail/targetrunner.py
@@ -291,7 +291,7 @@
                 self._shared.metrics,
             )
         except asyncio.CancelledError:
-            await self._sender.cancel(request.attempt)
+            await self._sender.cancel(request.resume_of or request.attempt)
             if not flight.stalled:
                 raise
             task.uncancel()
