--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 
+from builders_coordination import run_virtual
+
 from carobsail import keyvalue
 from carobsail.leadership import Leadership, Role
-from tests.builders_coordination import run_virtual
 
 
 class Candidates:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,11 +3,11 @@
 import math
 import random
 
+from builders_coordination import run_virtual
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from carobsail import keyvalue, messages, ownership
-from tests.builders_coordination import run_virtual
 
 TARGETS = [f"t{n}" for n in range(40)]
 FIVE = [f"i{n}" for n in range(5)]
