Add engine, service and inventory clients and their stand-ins

The request path needs engines, plain services and the inventory over HTTP, and tests need outside systems whose faults can be switched on and whose executions can be counted.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -180,6 +180,7 @@
 
     Attributes:
       address: `host:port` of the server.
+      name: Name of the server in failures.
       connects: Number of connections opened.
     """
 
@@ -192,10 +193,15 @@
         "_timeout_s",
         "address",
         "connects",
+        "name",
     )
 
     def __init__(
-        self, address: str, limit: int, connect_timeout_s: float
+        self,
+        address: str,
+        limit: int,
+        connect_timeout_s: float,
+        name: str = "",
     ) -> None:
         """Creates a pool without connections.
 
@@ -203,8 +209,10 @@
           address: `host:port` of the server.
           limit: Requests under way at once; further ones wait.
           connect_timeout_s: Bound on that wait and on each connect.
+          name: Name of the server in failures; its address if empty.
         """
         self.address = address
+        self.name = name or address
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
@@ -221,8 +229,8 @@
         outcome: errors.Outcome = errors.Outcome.UNKNOWN,
         step: errors.Step = errors.Step.ANSWER,
     ) -> errors.Failure:
-        """Returns a failure that names the pool's address."""
-        return errors.Failure(reason, step, self.address, outcome, detail)
+        """Returns a failure that names the pool's server."""
+        return errors.Failure(reason, step, self.name, outcome, detail)
 
     async def request(
         self,
--- /dev/null
+++ b/carobsail/standin.py
@@ -0,0 +1,125 @@
+"""Program `carobsail-standin`: the outside systems of a demo or test.
+
+One process runs all stand-ins of a JSON description: each engine and service
+of its inventory at its listed address, the weight store, the key-value
+service and the inventory itself.
+"""
+
+import asyncio
+import pathlib
+import signal
+from typing import Protocol
+
+import fire
+import msgspec
+
+from carobsail import (
+    inventory,
+    standin_engine,
+    standin_keyvalue,
+    standin_platform,
+    standin_service,
+)
+
+
+class Standin(Protocol):
+    """What all stand-ins with an address share."""
+
+    address: str
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Starts listening."""
+
+    async def stop(self) -> None:
+        """Cuts all connections and stops listening."""
+
+
+class Description(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What to run.
+
+    Attributes:
+      inventory: Inventory with the addresses of all targets.
+      host: Address of the key-value service and the inventory.
+      keyvalue_port: Port of the key-value service.
+      inventory_port: Port of the inventory.
+      inventory_lag_s: Seconds until a published inventory is served.
+      resident: Models that are resident from the start, by engine.
+      service_latency_s: Seconds that a service takes.
+    """
+
+    inventory: inventory.Inventory
+    host: str = "127.0.0.1"
+    keyvalue_port: int = 2379
+    inventory_port: int = 2380
+    inventory_lag_s: float = 0.0
+    resident: dict[str, list[str]] = {}
+    service_latency_s: float = 0.01
+
+
+async def start(description: Description) -> dict[str, Standin]:
+    """Starts all stand-ins.
+
+    Returns:
+      The stand-ins by target name, `key-value` and `inventory`.
+    """
+    listed = description.inventory
+    store = standin_platform.WeightStoreStandin(listed.weight_store)
+    running: dict[str, Standin] = {}
+    for target in listed.targets:
+        standin = _target(description, target, store)
+        host, _, port = target.address.rpartition(":")
+        await standin.start(host, int(port))
+        running[target.name] = standin
+    keyvalue = standin_keyvalue.KeyValueStandin()
+    await keyvalue.start(description.host, description.keyvalue_port)
+    platform = standin_platform.InventoryStandin(
+        msgspec.json.encode(listed), description.inventory_lag_s
+    )
+    await platform.start(description.host, description.inventory_port)
+    return running | {"key-value": keyvalue, "inventory": platform}
+
+
+def _target(
+    description: Description,
+    target: inventory.Target,
+    store: standin_platform.WeightStoreStandin,
+) -> Standin:
+    if target.kind is inventory.Kind.SERVICE:
+        return standin_service.ServiceStandin(description.service_latency_s)
+    engine = standin_engine.EngineStandin(
+        target,
+        description.inventory.models,
+        description.inventory.adapters,
+        store,
+    )
+    for model in description.resident.get(target.name, []):
+        engine.memory.place(model)
+    return engine
+
+
+async def _run(description: Description) -> None:
+    running = await start(description)
+    for name, standin in running.items():
+        print(f"standin={name} address={standin.address}", flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    for standin in running.values():
+        await standin.stop()
+
+
+def run(description: str) -> None:
+    """Runs the stand-ins of a description until a signal arrives.
+
+    Args:
+      description: Path of the JSON description.
+    """
+    content = pathlib.Path(description).read_bytes()
+    asyncio.run(_run(msgspec.json.decode(content, type=Description)))
+
+
+def main() -> None:
+    """Entry point of `carobsail-standin`."""
+    fire.Fire(run)
--- /dev/null
+++ b/carobsail/standin_generation.py
@@ -0,0 +1,273 @@
+"""Generation of answers in an engine stand-in: queue, rates, prefix cache."""
+
+import asyncio
+import collections
+import heapq
+import itertools
+from typing import Any
+
+import msgspec
+import xxhash
+
+from carobsail import engines, inventory
+
+BLOCK_CHARACTERS = 256
+_CHARACTERS_PER_TOKEN = 4
+_CACHE_EVENTS = 4096
+
+
+def answer_tokens(body: bytes, count: int) -> list[str]:
+    """Returns the tokens that any engine stand-in answers to a body."""
+    return [f"{xxhash.xxh32_hexdigest(body, seed)} " for seed in range(count)]
+
+
+def answer_text(body: bytes, count: int) -> str:
+    """Returns the whole text that answers a body with `count` tokens."""
+    return "".join(answer_tokens(body, count))
+
+
+class PrefixCache:
+    """Prompt blocks in memory, and the events that tell of them.
+
+    Attributes:
+      delay_s: Seconds until an event can be read.
+      drop: Number of coming events that are lost.
+    """
+
+    def __init__(self, blocks: int) -> None:
+        self.delay_s = 0.0
+        self.drop = 0
+        self._limit = blocks
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[tuple[float, engines.CacheEvent]] = (
+            collections.deque(maxlen=_CACHE_EVENTS)
+        )
+        self._sequence = 0
+
+    def insert(self, prompt: str, incarnation: int) -> int:
+        """Stores a prompt; returns the tokens that were cached before."""
+        hashes = []
+        for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+            hashes.append(xxhash.xxh64_intdigest(prompt[:end].encode()))
+        new = [block for block in hashes if block not in self._blocks]
+        for block in hashes:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        removed = []
+        while len(self._blocks) > self._limit:
+            removed.append(self._blocks.popitem(last=False)[0])
+        self._emit("stored", new, incarnation)
+        self._emit("removed", removed, incarnation)
+        cached = len(hashes) - len(new)
+        return cached * BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
+
+    def clear(self, incarnation: int) -> None:
+        """Forgets all blocks."""
+        self._blocks.clear()
+        self._emit("cleared", [0], incarnation)
+
+    def _emit(self, kind: str, blocks: list[int], incarnation: int) -> None:
+        if not blocks:
+            return
+        self._sequence += 1
+        if self.drop:
+            self.drop -= 1
+            return
+        event = engines.CacheEvent(
+            self._sequence, incarnation, kind, tuple(blocks)
+        )
+        due_s = asyncio.get_running_loop().time() + self.delay_s
+        self._events.append((due_s, event))
+
+    def events(self, after: int) -> list[engines.CacheEvent]:
+        """Returns the events after a sequence number that can be read now."""
+        now = asyncio.get_running_loop().time()
+        return [
+            event
+            for due_s, event in self._events
+            if due_s <= now and event.sequence > after
+        ]
+
+
+class Generation:
+    """One answer being generated.
+
+    Attributes:
+      tokens: Tokens generated so far.
+      done: Whether the answer is complete.
+      stopped: Whether it was cancelled before it was complete.
+      model: Resident model that serves it.
+    """
+
+    def __init__(self, body: bytes, prompt: str, count: int, model: str):
+        self.tokens: list[str] = []
+        self.done = False
+        self.stopped = False
+        self.model = model
+        self.prompt = prompt
+        self.prompt_tokens = max(1, len(prompt) // _CHARACTERS_PER_TOKEN)
+        self.wanted = answer_tokens(body, count)
+        self._grown = asyncio.Event()
+
+    def grow(self) -> None:
+        """Wakes the readers after a change."""
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def wait(self, position: int) -> None:
+        """Waits until there are more than `position` tokens or all."""
+        while len(self.tokens) <= position and not self.done:
+            if self.stopped:
+                return
+            await self._grown.wait()
+
+    def stop(self) -> None:
+        """Ends an answer that is not complete."""
+        self.stopped = not self.done
+        self.grow()
+
+
+class Scheduler:
+    """Runs generations in slots, most urgent first.
+
+    Attributes:
+      slow: Factor by which everything takes longer.
+      running: Generations in a slot.
+    """
+
+    def __init__(self, target: inventory.Target, cache: PrefixCache) -> None:
+        self.slow = 1.0
+        self.running = 0
+        self._moving = asyncio.Event()
+        self._moving.set()
+        self._target = target
+        self._cache = cache
+        self._prefill = asyncio.Lock()
+        self._order = itertools.count()
+        self._queue: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def queued(self) -> int:
+        """Number of generations that wait for a slot."""
+        return len(self._queue)
+
+    def freeze(self) -> None:
+        """Stops all progress."""
+        self._moving.clear()
+
+    def thaw(self) -> None:
+        """Continues after `freeze`."""
+        self._moving.set()
+
+    async def moving(self) -> None:
+        """Waits while frozen."""
+        await self._moving.wait()
+
+    async def enter(self, priority: int) -> None:
+        """Waits for a slot."""
+        if self.running < self._target.slots and not self._queue:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        entry = (priority, next(self._order), turn)
+        heapq.heappush(self._queue, entry)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if entry in self._queue:
+                self._queue.remove(entry)
+                heapq.heapify(self._queue)
+            else:
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Gives the slot to the most urgent waiting generation."""
+        while self._queue:
+            turn = heapq.heappop(self._queue)[2]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    async def generate(self, generation: Generation, incarnation: int) -> None:
+        """Generates an answer in a slot that was entered."""
+        async with self._prefill:
+            cached = self._cache.insert(generation.prompt, incarnation)
+            tokens = max(0, generation.prompt_tokens - cached)
+            await self._work(tokens / self._target.prefill_tokens_per_s)
+        for token in generation.wanted:
+            # The decode rate is shared by the slots in use.
+            rate = self._target.decode_tokens_per_s / max(1, self.running)
+            await self._work(1.0 / rate)
+            generation.tokens.append(token)
+            generation.grow()
+        generation.done = True
+        generation.grow()
+
+    async def _work(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * self.slow)
+        await self._moving.wait()
+
+
+class Answer:
+    """Writes a generation in the OpenAI format."""
+
+    def __init__(
+        self, generation: Generation, attempt: str, name: str, chat: bool
+    ) -> None:
+        self.generation = generation
+        self.attempt = attempt
+        self._name = name
+        self._chat = chat
+
+    def _usage(self) -> dict[str, int]:
+        prompt = self.generation.prompt_tokens
+        output = len(self.generation.wanted)
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": output,
+            "total_tokens": prompt + output,
+        }
+
+    def _head(self, kind: str) -> dict[str, Any]:
+        kind = f"chat.completion{kind}" if self._chat else "text_completion"
+        return {
+            "id": self.attempt,
+            "object": kind,
+            "created": 0,
+            "model": self._name,
+        }
+
+    def whole(self) -> dict[str, Any]:
+        """Returns the body of an answer that is not streamed."""
+        text = "".join(self.generation.tokens)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        head = self._head("")
+        return head | {"choices": [choice], "usage": self._usage()}
+
+    def event(self, number: int) -> bytes:
+        """Returns the server-sent event with a number."""
+        count = len(self.generation.wanted)
+        if number > count:
+            return f"id: {number}\ndata: [DONE]\n\n".encode()
+        body = self._head(".chunk")
+        if number == count:
+            body |= {"choices": [], "usage": self._usage()}
+        else:
+            token = self.generation.wanted[number]
+            choice: dict[str, Any] = {"index": 0}
+            if self._chat:
+                choice["delta"] = {"content": token}
+            else:
+                choice["text"] = token
+            last = number == count - 1
+            choice["finish_reason"] = "length" if last else None
+            body["choices"] = [choice]
+        return b"id: %d\ndata: %s\n\n" % (number, msgspec.json.encode(body))
--- a/tests/builders_io.py
+++ b/tests/builders_io.py
@@ -3,8 +3,12 @@
 import asyncio
 
 import async_solipsism
+import msgspec
 
-from carobsail import httpclient, httpserver
+from carobsail import errors, httpclient, httpserver, inventory, messages
+from carobsail.enginehttp import HttpEngine
+from carobsail.standin_engine import EngineStandin
+from carobsail.standin_platform import WeightStoreStandin
 
 
 async def echo(
@@ -65,3 +69,94 @@
 
     def new_event_loop(self):
         return async_solipsism.EventLoop()
+
+
+def dispatch(body: bytes | dict, **changes) -> messages.Dispatch:
+    """Returns a request to an engine."""
+    data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    request = messages.Dispatch(
+        attempt="a1",
+        target="e1",
+        account="valtellina",
+        model="base",
+        adapter="",
+        method="POST",
+        path="/v1/chat/completions",
+        headers=[("content-type", "application/json")],
+        body=data,
+        due_in_s=30.0,
+        prompt_tokens=10,
+        output_tokens=8,
+        priority=5,
+        idempotent=True,
+        fingerprint="f",
+    )
+    return msgspec.structs.replace(request, **changes)
+
+
+def chat(text: str = "hello", tokens: int = 8, **fields) -> dict:
+    """Returns a body of a streamed chat request."""
+    messages_ = [{"role": "user", "content": text}]
+    fields = {"model": "base", "stream": True} | fields
+    return fields | {"messages": messages_, "max_tokens": tokens}
+
+
+async def engine(**fields) -> tuple[EngineStandin, HttpEngine]:
+    """Returns a started engine that holds `base`, and a client of it."""
+    target = inventory.Target(
+        **{
+            "name": "e1",
+            "kind": inventory.Kind.ENGINE,
+            "data_centre": "dc",
+            "address": "",
+            "pool": "p",
+            "capacity_mb": 30_000,
+            "adapter_pool_mb": 100,
+            "cache_floor_mb": 1_000,
+            "slots": 2,
+        }
+        | fields
+    )
+    models = [
+        inventory.Model(name, "p", 10_000) for name in ("base", "b", "c", "d")
+    ]
+    adapters = [
+        inventory.Adapter(name, "base", 60) for name in ("tone", "style")
+    ]
+    store = WeightStoreStandin(inventory.WeightStore("r"))
+    standin = EngineStandin(target, models, adapters, store)
+    await standin.start("127.0.0.1")
+    standin.memory.place("base")
+    return standin, HttpEngine("e1", standin.address)
+
+
+async def collect(answer) -> tuple[bytes, errors.Failure | None]:
+    """Returns the bytes of an answer and the failure that ended it."""
+    if isinstance(answer, errors.Failure):
+        return b"", answer
+    data = b""
+    async for chunk in answer.chunks():
+        if isinstance(chunk, errors.Failure):
+            return data, chunk
+        data += chunk
+    return data, None
+
+
+def events(data: bytes) -> list[tuple[int, str]]:
+    """Returns number and data of the whole events of a stream."""
+    found = []
+    for block in data.decode().split("\n\n")[:-1]:
+        first, second = block.split("\n")
+        number = int(first.removeprefix("id: "))
+        found.append((number, second.removeprefix("data: ")))
+    return found
+
+
+def text_of(data: bytes) -> str:
+    """Returns the text of a streamed chat answer."""
+    text = ""
+    for _, event in events(data):
+        if event != "[DONE]":
+            for choice in msgspec.json.decode(event)["choices"]:
+                text += choice["delta"]["content"]
+    return text
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,78 @@
+"""Guards the client of plain services and of the inventory."""
+
+import asyncio
+
+import pytest
+
+from carobsail import errors, platform_client, services
+from carobsail.standin_platform import InventoryStandin
+from carobsail.standin_service import ServiceCut, ServiceStandin
+from tests import builders_io as build
+
+
+@pytest.fixture
+def event_loop_policy():
+    return build.NetworkPolicy()
+
+
+async def start():
+    """Returns a started service and a client of it."""
+    standin = ServiceStandin(0.01)
+    await standin.start("127.0.0.1")
+    return standin, services.HttpService("s1", standin.address)
+
+
+def booking(body: bytes = b"slot 9"):
+    return build.dispatch(body, path="/bookings", idempotent=False)
+
+
+async def test_booking_and_lookup():
+    """R3: a plain answer passes through whole."""
+    standin, client = await start()
+    data, failure = await build.collect(await client.send(booking()))
+    assert failure is None
+    assert b'"booking":1' in data
+    assert standin.executions[b"slot 9"] == 1
+    lookup = build.dispatch(b"", path="/registrations/AB12", method="GET")
+    data, _ = await build.collect(await client.send(lookup))
+    assert b"AB12" in data
+
+
+@pytest.mark.parametrize(
+    ("cut", "runs"),
+    [(ServiceCut.BEFORE_EXECUTION, 0), (ServiceCut.AFTER_EXECUTION, 1)],
+)
+async def test_cut_booking_is_unknown(cut, runs):
+    """R5: the two cuts look alike, so neither may be sent again."""
+    standin, client = await start()
+    standin.cut, standin.cuts = cut, 1
+    failure = await client.send(booking())
+    assert failure.outcome is errors.Outcome.UNKNOWN
+    assert standin.executions[b"slot 9"] == runs
+
+
+async def test_refused_booking_is_not_run():
+    """R4: only the service's own word proves that a booking did not start."""
+    standin, client = await start()
+    standin.refusals = 1
+    failure = await client.send(booking())
+    assert failure.outcome is errors.Outcome.NOT_RUN
+    assert failure.retry_after_s == 1.0
+    assert not standin.bookings
+
+
+async def test_inventory_lags_and_fails_as_a_value():
+    """R12: the inventory is old, and its outage must not raise."""
+    standin = InventoryStandin(b"1", lag_s=5.0)
+    await standin.start("127.0.0.1")
+    client = platform_client.InventoryClient(standin.url)
+    standin.publish(b"2")
+    assert await client.fetch() == b"1"
+    await asyncio.sleep(6.0)
+    assert await client.fetch() == b"2"
+    standin.available = False
+    failure = await client.fetch()
+    assert failure.step is errors.Step.CONFIGURE
+    assert failure.outcome is errors.Outcome.FAILED
+    with pytest.raises(ValueError, match="not http"):
+        platform_client.InventoryClient("https://x/inventory")
