Wait for the departure watch before reading the next request

A cancelled watch still held the stream's only reader slot when the next read began, so a keep-alive connection failed after each answer that had waited; clients hid it by connecting again. The server now also logs any exception that ends a connection.

tests/test_httpserver.py: the new test used 3 connections for 3 requests before the change and 1 after. python -m pytest: 85 passed.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -252,6 +252,9 @@
                 await responder.send(500, [], b"")
         finally:
             watch.cancel()
+            # A stream has one reader: the watch must be gone before the next
+            # request is read.
+            await asyncio.wait({watch})
         if not responder.finished or responder.disconnected.is_set():
             self.cut()
             return False
--- a/carobsail/httpserver.py
+++ b/carobsail/httpserver.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: bounds, graceful stop and immediate stop."""
 
 import asyncio
+import logging
 
 from carobsail import httpconnection
 from carobsail.httpconnection import Bounds, Handler, Request, Responder
@@ -11,6 +12,8 @@
 # was on its way is still answered.
 _DRAIN_IDLE_S = 0.5
 
+_log = logging.getLogger(__name__)
+
 
 class Server:
     """A listening server; create it with `serve`."""
@@ -49,7 +52,21 @@
         )
         tasks = self._refused if full else self._connections
         tasks[connection] = task
-        task.add_done_callback(lambda _: tasks.pop(connection))
+        task.add_done_callback(lambda _: self._ended(tasks, connection))
+
+    def _ended(
+        self,
+        tasks: dict[httpconnection.Connection, asyncio.Task[None]],
+        connection: httpconnection.Connection,
+    ) -> None:
+        task = tasks.pop(connection)
+        error = None if task.cancelled() else task.exception()
+        if error:
+            _log.error(
+                "connection failed",
+                exc_info=error,
+                extra={"server": self.name},
+            )
 
     async def drain(self) -> None:
         """Stops accepting and waits for the requests in flight.
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -177,3 +177,19 @@
     assert received.startswith(b"HTTP/1.1 100")
     received = await build.exchange(server.port, LAST.replace(b"GET", b"HEAD"))
     assert received.endswith(b"\r\n\r\n")
+
+
+async def test_connection_serves_on_after_a_slow_answer():
+    """The watch for the caller's departure must not keep the next read."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(1.0)
+        await responder.send(200, [], request.body)
+
+    server = await build.server(handler)
+    pool = build.pool(server.port)
+    for body in (b"1", b"2", b"3"):
+        answer = await pool.request("POST", "/", [], body)
+        assert await answer.read(10) == body
+    assert pool.connects == 1
+    assert server.connections == 1
