--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -103,40 +103,30 @@
         """Yields body bytes, one chunk for each read from the socket.
 
         A body that ended early, or whose end cannot be told from a cut
-        (neither a length nor chunked), ends with an ANSWER_CUT failure.
+        (neither a length nor chunked), ends with an ANSWER_CUT failure. An
+        iteration that is given up closes the connection.
         """
-        detail = ""
-        while (connection := self._connection) is not None:
-            parts: list[bytes] = []
-            end: object = None
-            try:
-                event = connection.machine.next_event()
-                while isinstance(event, h11.Data):
-                    parts.append(event.data)
-                    event = connection.machine.next_event()
-                end = event
-            except h11.RemoteProtocolError as error:
-                detail = str(error)
-            if parts:
-                yield bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
-            if detail:
-                break
-            if isinstance(end, h11.EndOfMessage):
-                if not self._delimited():
+        detail = "the answer was given up"
+        try:
+            while (connection := self._connection) is not None:
+                data, end = _take_body(connection.machine)
+                if data:
+                    yield data
+                if isinstance(end, h11.EndOfMessage):
+                    if self._delimited():
+                        self._connection = None
+                        self._pool.give_back(connection)
+                        return
                     detail = "the answer has no length"
                     break
-                self._release(connection)
-                return
-            try:
+                if isinstance(end, h11.RemoteProtocolError):
+                    detail = str(end)
+                    break
                 await connection.receive()
-            except OSError as error:
-                detail = str(error)
-                break
-            except BaseException:
-                await self.close()
-                raise
-        detail = detail or "the answer was given up"
-        await self.close()
+        except OSError as error:
+            detail = str(error)
+        finally:
+            await self.close()
         yield self._pool.failure(errors.Reason.ANSWER_CUT, detail)
 
     def _delimited(self) -> bool:
@@ -147,10 +137,6 @@
             for name, _ in self.headers
         )
 
-    def _release(self, connection: _Connection) -> None:
-        self._connection = None
-        self._pool.give_back(connection)
-
     async def read(self, limit: int) -> bytes | errors.Failure:
         """Returns the whole body; a longer one than `limit` is a failure."""
         parts: list[bytes] = []
@@ -175,6 +161,19 @@
             self._pool.discard(connection)
 
 
+def _take_body(machine: h11.Connection) -> tuple[bytes, object]:
+    """Returns the body bytes received so far, and the event after them."""
+    parts: list[bytes] = []
+    end: object
+    try:
+        while isinstance(end := machine.next_event(), h11.Data):
+            parts.append(end.data)
+    except h11.RemoteProtocolError as error:
+        end = error
+    # h11 gives bytearrays; `bytes` and `join` each copy once.
+    return bytes(parts[0]) if len(parts) == 1 else b"".join(parts), end
+
+
 class Pool:
     """Connections to one `host:port`.
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -129,3 +129,15 @@
     server = await build.server()
     failure = await call(build.pool(server.port), b"x" * 2000)
     assert failure.reason is errors.Reason.BODY_TOO_LARGE
+
+
+async def test_iteration_given_up_closes_its_connection():
+    """A consumer that stops half way must not keep a place in the pool."""
+    listener = await build.raw_server(WHOLE[:-1], WHOLE)
+    pool = build.pool(build.port_of(listener), limit=1)
+    answer = await pool.request("GET", "/", [], b"")
+    chunks = answer.chunks()
+    assert await anext(chunks) == b"o"
+    await chunks.aclose()
+    assert await call(pool) == b"ok"
+    assert pool.connects == 2
