--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -28,6 +28,63 @@
     wait_until: float = float("-inf")
 
 
+# Stands for the engines of other data centres, whose rates are not relayed.
+_REMOTE_ENGINE = inventory.Target(
+    name="", kind=inventory.Kind.ENGINE, data_centre="", address="", pool=""
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Demand:
+    """What a request asks of a target.
+
+    Attributes:
+      served: Model, or service for plain services.
+      model: Model, empty for services.
+      adapter: Adapter or empty.
+      prompt_tokens: Estimated prompt length.
+      output_tokens: Expected output length.
+      blocks: Hashes of the prompt's blocks.
+    """
+
+    served: str
+    model: str
+    adapter: str
+    prompt_tokens: int
+    output_tokens: float
+    blocks: tuple[int, ...] = ()
+
+    @classmethod
+    def of_request(
+        cls, request: requests.CallerRequest, output_tokens: float
+    ) -> "Demand":
+        """Returns the demand of a caller's request."""
+        blocks: tuple[int, ...] = ()
+        if request.model:
+            blocks = prefixes.hash_blocks(
+                request.model, request.adapter, request.prompt.encode()
+            )
+        return cls(
+            request.operation.service or request.model,
+            request.model,
+            request.adapter,
+            request.prompt_tokens,
+            output_tokens,
+            blocks,
+        )
+
+    @classmethod
+    def of_dispatch(cls, request: messages.Dispatch) -> "Demand":
+        """Returns the demand of another data centre's request."""
+        return cls(
+            request.model,
+            request.model,
+            request.adapter,
+            request.prompt_tokens,
+            request.output_tokens,
+        )
+
+
 class TargetDirectory:
     """Targets of the data centre, and data centres that serve a model.
 
@@ -88,8 +145,6 @@
 
     def update_inventory(self, listed: inventory.Inventory) -> None:
         """Takes over a newer inventory."""
-        if self.listed and listed.version <= self.listed.version:
-            return
         self.listed = listed
         self.adapter_models = {a.name: a.model for a in listed.adapters}
         own = listed.in_data_centre(self.data_centre)
@@ -154,33 +209,22 @@
         return found
 
     def views(
-        self,
-        request: requests.CallerRequest,
-        output_tokens: float,
-        now: float,
-        remote: bool,
+        self, demand: Demand, now: float, remote: bool
     ) -> list[routing.TargetView]:
-        """Returns the targets that serve the request's model or service.
+        """Returns the targets that serve a model or service.
 
         Args:
-          request: The request.
-          output_tokens: Expected output length.
+          demand: What the request asks.
           now: Loop time in seconds.
           remote: Whether other data centres are included.
         """
-        wanted = request.operation.service or request.model
-        blocks: tuple[int, ...] = ()
-        if request.model:
-            blocks = prefixes.hash_blocks(
-                request.model, request.adapter, request.prompt.encode()
-            )
         found = [
-            self._view(target, request, output_tokens, blocks, now)
+            self._view(target, demand, now)
             for target in self._targets.values()
-            if wanted in self._served(target)
+            if demand.served in self._served(target)
         ]
-        if remote and request.model:
-            found.extend(self._remote_views(request, output_tokens, now))
+        if remote and demand.model:
+            found.extend(self._remote_views(demand, now))
         return found
 
     def _served(self, target: inventory.Target) -> Iterable[str]:
@@ -194,9 +238,7 @@
     def _view(
         self,
         target: inventory.Target,
-        request: requests.CallerRequest,
-        output_tokens: float,
-        blocks: tuple[int, ...],
+        demand: Demand,
         now: float,
     ) -> routing.TargetView:
         runner = self._dispatcher.runners.get(target.name)
@@ -211,16 +253,16 @@
             adapters = owner_load[1].adapters if owner_load else ()
             serving = owner_load is not None and owner_load[1].serving
         resident = frozenset(adapters)
-        load_s = self._adapter_load_s(request.adapter, resident)
-        cached = self._prefixes.cached_share(target.name, blocks)
-        speed = self._speeds.factor(target.name, request.model)
+        load_s = self._adapter_load_s(demand.adapter, resident)
+        cached = self._prefixes.cached_share(target.name, demand.blocks)
+        speed = self._speeds.factor(target.name, demand.model)
         work = estimation.Work(
-            request.prompt_tokens, output_tokens, cached, load_s
+            demand.prompt_tokens, demand.output_tokens, cached, load_s
         )
-        cold_tokens = request.prompt_tokens * (1.0 - cached)
+        cold_tokens = demand.prompt_tokens * (1.0 - cached)
         return routing.TargetView(
             name=target.name,
-            models=frozenset((request.operation.service or request.model,)),
+            models=frozenset((demand.served,)),
             prediction=estimation.predict(target, backlog, work, speed),
             adapters=resident,
             cold_prompt_s=cold_tokens / target.prefill_tokens_per_s,
@@ -228,7 +270,7 @@
             slots=target.slots,
             serving=serving,
             leaving=target.state is inventory.State.LEAVING,
-            demoted=self._speeds.is_slow(target.name, request.model),
+            demoted=self._speeds.is_slow(target.name, demand.model),
         )
 
     def _adapter_load_s(self, adapter: str, resident: frozenset[str]) -> float:
@@ -240,36 +282,26 @@
         return 0.0
 
     def _remote_views(
-        self,
-        request: requests.CallerRequest,
-        output_tokens: float,
-        now: float,
+        self, demand: Demand, now: float
     ) -> list[routing.TargetView]:
         found = []
         for name, remote in self._remotes.items():
-            if not remote.models.get(request.model):
+            if not remote.models.get(demand.model):
                 continue
             if not self._gateways(name):
                 continue
             wait_s = remote.wait_s if now < remote.wait_until else 0.0
-            found.append(
-                self._remote_view(name, wait_s, request, output_tokens)
-            )
+            found.append(self._remote_view(name, wait_s, demand))
         return found
 
     def _remote_view(
         self,
         data_centre: str,
         wait_s: float,
-        request: requests.CallerRequest,
-        output_tokens: float,
+        demand: Demand,
     ) -> routing.TargetView:
         assert self.listed is not None
-        # All engines are listed with rates; any of the model's pool will do.
-        engine = next(
-            t for t in self.listed.targets if t.kind is inventory.Kind.ENGINE
-        )
-        work = estimation.Work(request.prompt_tokens, output_tokens)
+        work = estimation.Work(demand.prompt_tokens, demand.output_tokens)
         backlog = estimation.Backlog(0, wait_s)
         near = self.listed.same_region(self.data_centre, data_centre)
         latency_ms = (
@@ -280,8 +312,8 @@
         bytes_per_s = self.listed.region_link_mbit_per_s * 1e6 / 8
         return routing.TargetView(
             name=data_centre,
-            models=frozenset((request.model,)),
-            prediction=estimation.predict(engine, backlog, work),
+            models=frozenset((demand.model,)),
+            prediction=estimation.predict(_REMOTE_ENGINE, backlog, work),
             slots=REMOTE_SLOTS,
             path=routing.Path(
                 latency_s=latency_ms / 1000,
--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -124,9 +124,7 @@
         self, request: requests.CallerRequest, now: float
     ) -> float:
         """Returns the least predicted wait at any target, in seconds."""
-        views = self._directory.views(
-            request, self._expect(request), now, remote=False
-        )
+        views = self._directory.views(self._demand(request), now, remote=False)
         waits = [v.prediction.start_s for v in views if v.serving]
         return min(waits, default=0.0)
 
@@ -214,7 +212,7 @@
         # A non-idempotent operation stays in its data centre: a link between
         # data centres that breaks would leave its outcome unknown.
         views = self._directory.views(
-            request, tokens, now, remote=subject.idempotent
+            self._demand(request), now, remote=subject.idempotent
         )
         route = routing.RouteRequest(
             model=request.operation.service or request.model,
@@ -240,6 +238,9 @@
             request.output_tokens,
         )
 
+    def _demand(self, request: requests.CallerRequest) -> directory.Demand:
+        return directory.Demand.of_request(request, self._expect(request))
+
     def _describe(
         self,
         subject: exchange.Exchange,
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -79,6 +79,11 @@
     resume_after: str = ""
 
 
+def with_target(request: Dispatch, target: str) -> Dispatch:
+    """Returns the request with another target."""
+    return msgspec.structs.replace(request, target=target)
+
+
 class Head(Message, tag="head", frozen=True):
     """Status and headers of the target's answer."""
 
--- /dev/null
+++ b/carobsail/ownedtargets.py
@@ -0,0 +1,248 @@
+"""Targets that this instance owns: runners, memory orders and reports."""
+
+import abc
+import asyncio
+from collections.abc import Callable
+
+from carobsail import (
+    answers,
+    dispatcher,
+    engines,
+    errors,
+    grants,
+    inventory,
+    messages,
+    services,
+    targetrunner,
+)
+
+# Reports are read at least this often; an owner of many engines reads each
+# less often, so that control stays within 1.1% of a core (R17).
+REPORT_INTERVAL_S = 1.0
+REPORTS_PER_S = 10.0
+
+
+class OwnedEngine(abc.ABC):
+    """Models and adapters of one owned engine."""
+
+    gate: targetrunner.AdapterGate
+
+    @abc.abstractmethod
+    def models(self) -> list[str]:
+        """Returns the models to which requests may be sent."""
+
+    @abc.abstractmethod
+    def progress(self, demand: dict[str, float]) -> messages.TargetProgress:
+        """Returns the account of this engine for the leader."""
+
+    @abc.abstractmethod
+    def want(self, plan: messages.TargetPlan) -> None:
+        """Takes over a plan."""
+
+    @abc.abstractmethod
+    async def work(self) -> engines.EngineReport | errors.Failure:
+        """Reads the report and sends at most one order."""
+
+    @abc.abstractmethod
+    def end(self) -> None:
+        """Ends the ownership; no order is sent any more."""
+
+
+class EngineSender(answers.Sender):
+    """Sends requests to an engine."""
+
+    __slots__ = ("client",)
+
+    def __init__(self, client: engines.EngineClient) -> None:
+        self.client = client
+
+    async def send(
+        self, request: messages.Dispatch
+    ) -> engines.AnswerStream | errors.Failure:
+        """See base class."""
+        return await self.client.send(request)
+
+    async def resume(
+        self, request: messages.Dispatch, last_event: str
+    ) -> engines.AnswerStream | errors.Failure:
+        """See base class."""
+        return await self.client.resume(request, last_event)
+
+    async def cancel(self, attempt: str) -> errors.Failure | None:
+        """See base class."""
+        return await self.client.cancel(attempt)
+
+    async def incarnation(self) -> int | errors.Failure:
+        """See base class."""
+        report = await self.client.report()
+        if isinstance(report, errors.Failure):
+            return report
+        return report.incarnation
+
+
+class ServiceSender(answers.Sender):
+    """Sends requests to a plain service, which has no streams to resume."""
+
+    __slots__ = ("_client", "_name")
+
+    def __init__(self, client: services.HttpService, name: str) -> None:
+        self._client = client
+        self._name = name
+
+    async def send(
+        self, request: messages.Dispatch
+    ) -> engines.AnswerStream | errors.Failure:
+        """See base class."""
+        return await self._client.send(request)
+
+    async def resume(
+        self, request: messages.Dispatch, last_event: str
+    ) -> engines.AnswerStream | errors.Failure:
+        """See base class."""
+        del request, last_event  # Unused.
+        return errors.Failure(
+            errors.Reason.TARGET_REFUSED, errors.Step.SEND, self._name
+        )
+
+    async def cancel(self, attempt: str) -> errors.Failure | None:
+        """See base class."""
+        del attempt  # Closing the connection is all that a service can see.
+        return None
+
+    async def incarnation(self) -> int | errors.Failure:
+        """See base class; services do not tell, so none ever crashed."""
+        return 1
+
+
+NewEngine = Callable[[inventory.Target, targetrunner.TargetRunner], OwnedEngine]
+NewRunner = Callable[[inventory.Target], targetrunner.TargetRunner]
+
+
+class OwnedTargets:
+    """Follows grants and the inventory.
+
+    Attributes:
+      engines: Owned engines by name.
+    """
+
+    __slots__ = (
+        "_dispatcher",
+        "_grants",
+        "_new_engine",
+        "_new_runner",
+        "_plans",
+        "_targets",
+        "_tasks",
+        "engines",
+    )
+
+    def __init__(
+        self,
+        owned: dispatcher.Dispatcher,
+        holder: grants.GrantHolder,
+        new_runner: NewRunner,
+        new_engine: NewEngine,
+    ) -> None:
+        """Creates the table without targets.
+
+        Args:
+          owned: Receives the runners.
+          holder: Grants of this instance.
+          new_runner: Creates the runner of a target.
+          new_engine: Creates the memory side of an engine.
+        """
+        self.engines: dict[str, OwnedEngine] = {}
+        self._dispatcher = owned
+        self._grants = holder
+        self._new_runner = new_runner
+        self._new_engine = new_engine
+        self._targets: dict[str, inventory.Target] = {}
+        self._plans: dict[str, messages.TargetPlan] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def update(self, listed: list[inventory.Target]) -> None:
+        """Takes over the targets of the data centre."""
+        self._targets = {target.name: target for target in listed}
+        for name, runner in self._dispatcher.runners.items():
+            if name in self._targets:
+                runner.target = self._targets[name]
+        self.apply()
+
+    def apply(self) -> None:
+        """Takes new targets into use and gives up those of others."""
+        for name, target in self._targets.items():
+            if not self._grants.assigned(name):
+                continue
+            runner = self._dispatcher.runners.get(name)
+            if runner is None:
+                self._take(target)
+            else:
+                runner.owned = True
+        for name in list(self._dispatcher.runners):
+            if not self._grants.assigned(name) or name not in self._targets:
+                self._give_up(name)
+
+    def _take(self, target: inventory.Target) -> None:
+        runner = self._new_runner(target)
+        self._dispatcher.runners[target.name] = runner
+        if target.kind is inventory.Kind.ENGINE:
+            engine = self._new_engine(target, runner)
+            self.engines[target.name] = engine
+            plan = self._plans.get(target.name)
+            if plan is not None:
+                engine.want(plan)
+            self._tasks[target.name] = asyncio.create_task(
+                self._work(target.name, engine, runner)
+            )
+
+    def _give_up(self, name: str) -> None:
+        """Sends no new request or order; those in flight finish."""
+        runner = self._dispatcher.runners[name]
+        runner.owned = False
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+        engine = self.engines.pop(name, None)
+        if engine is not None:
+            engine.end()
+        if runner.in_flight == 0:
+            del self._dispatcher.runners[name]
+
+    async def _work(
+        self,
+        name: str,
+        engine: OwnedEngine,
+        runner: targetrunner.TargetRunner,
+    ) -> None:
+        while True:
+            report = await engine.work()
+            if isinstance(report, errors.Failure):
+                if report.step is not errors.Step.ORDER:
+                    runner.note_incarnation(report)
+            else:
+                runner.note_incarnation(report.incarnation)
+            interval_s = len(self.engines) / REPORTS_PER_S
+            await asyncio.sleep(max(REPORT_INTERVAL_S, interval_s))
+
+    def plan(self, plan: messages.Plan) -> None:
+        """Takes over the leader's plan."""
+        if plan.epoch != self._grants.epoch:
+            return
+        for wanted in plan.targets:
+            self._plans[wanted.target] = wanted
+            engine = self.engines.get(wanted.target)
+            if engine is not None:
+                engine.want(wanted)
+
+    def models_of(self, target: str) -> list[str]:
+        """Returns the models that an owned target serves now."""
+        engine = self.engines.get(target)
+        return engine.models() if engine else []
+
+    def stop(self) -> None:
+        """Ends all ownership; requests in flight are not touched."""
+        for name in list(self.engines):
+            task = self._tasks.pop(name, None)
+            if task is not None:
+                task.cancel()
+            self.engines.pop(name).end()
--- a/carobsail/requests.py
+++ b/carobsail/requests.py
@@ -10,6 +10,7 @@
 from carobsail import configuration, errors
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+SERVICES_PATH = "/services"
 DEADLINE_HEADER = "x-deadline-ms"
 KEY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 255
@@ -146,7 +147,7 @@
         policy=policy,
         operation=operation,
         method=method,
-        path=f"{path}?{query}" if query else path,
+        path=_target_path(operation, path, query),
         headers=_pass_on(headers),
         body=body,
         model=model.model,
@@ -161,6 +162,15 @@
     )
 
 
+def _target_path(
+    operation: configuration.Operation, path: str, query: str
+) -> str:
+    """Returns the path that the target knows."""
+    if operation.service:
+        path = path.removeprefix(f"{SERVICES_PATH}/{operation.service}") or "/"
+    return f"{path}?{query}" if query else path
+
+
 def _read_deadline(
     operation: configuration.Operation, headers: dict[str, str]
 ) -> float | errors.Failure:
