--- /dev/null
+++ b/tests/test_claimwriter.py
@@ -0,0 +1,293 @@
+"""Guards claims against double grants and false `not run` (R4, R5)."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobsail import claimlease, claimwriter, errors, idempotency, messages
+from tests.builders_claims import (
+    ANSWER,
+    LATE_S,
+    FaultyKeyValue,
+    Writer,
+    claim,
+    run,
+    settle,
+)
+
+PLACE = idempotency.claim_key("acme", "k")
+FAULTS = ["ok", "refused", "lost", "dropped", "late", "hang"]
+
+
+def test_life_of_a_claim():
+    """R5: repeats must receive the recorded answer, never a second grant."""
+
+    async def scenario():
+        writer = Writer(FaultyKeyValue()).writer
+        assert (await writer.claim(claim("a"))).state == "granted"
+        assert (await writer.claim(claim("b"))).state == "unknown"
+        other = await writer.claim(claim("b", fingerprint="g"))
+        assert other.state == "mismatch"
+        done = settle("done", "a", answer=ANSWER)
+        assert (await writer.settle(done)).recorded
+        repeat = await writer.claim(claim("b"))
+        assert (repeat.state, repeat.answer) == ("done", ANSWER)
+        assert not (await writer.settle(settle("released", "a"))).recorded
+
+    run(scenario())
+
+
+def test_release_frees_the_key_only_for_its_holder():
+    """R5: another token's release must not free a key in use."""
+
+    async def scenario():
+        writer = Writer(FaultyKeyValue()).writer
+        await writer.claim(claim("a"))
+        assert not (await writer.settle(settle("released", "b"))).recorded
+        assert (await writer.claim(claim("b"))).state == "unknown"
+        assert (await writer.settle(settle("released", "a"))).recorded
+        assert (await writer.claim(claim("b"))).state == "granted"
+
+    run(scenario())
+
+
+def test_large_answer_is_recorded_by_status():
+    """R5: an answer beyond 16 KB must not be recorded without its body."""
+
+    async def scenario():
+        writer = Writer(FaultyKeyValue()).writer
+        await writer.claim(claim("a"))
+        large = messages.StoredAnswer(201, [], b"x" * 16_385)
+        assert (await writer.settle(settle("done", "a", answer=large))).recorded
+        repeat = await writer.claim(claim("b"))
+        assert repeat.state == "unknown"
+        assert repeat.answer == messages.StoredAnswer(201, [], b"")
+
+    run(scenario())
+
+
+def test_claims_share_transactions():
+    """R12: the number of writes must not follow the number of requests."""
+
+    async def scenario():
+        client = FaultyKeyValue()
+        writer = Writer(client).writer
+        asks = [writer.claim(claim(f"t{i}", f"k{i}")) for i in range(200)]
+        results = await asyncio.gather(*asks)
+        assert {result.state for result in results} == {"granted"}
+        assert client.sizes == [1, 1, 64, 64, 64, 8]
+        assert asyncio.get_running_loop().time() == pytest.approx(0.3)
+        writer.set_calls_per_s(2)
+        await writer.claim(claim("x", "x"))
+        await writer.claim(claim("y", "y"))
+        assert asyncio.get_running_loop().time() == pytest.approx(0.9)
+
+    run(scenario())
+
+
+def test_taken_keys_do_not_hold_up_others():
+    """A batch with one taken key must still grant the other keys."""
+
+    async def scenario():
+        writer = Writer(FaultyKeyValue()).writer
+        await writer.claim(claim("a", "k0"))
+        asks = [writer.claim(claim(f"t{i}", f"k{i}")) for i in range(5)]
+        states = [result.state for result in await asyncio.gather(*asks)]
+        assert states == ["unknown"] + ["granted"] * 4
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("fault", "state"),
+    [
+        ("lost", "granted"),
+        ("dropped", "granted"),
+        ("late", "granted"),
+        ("hang", "granted"),
+        ("refused", "unavailable"),
+    ],
+)
+def test_lost_response_is_resolved(fault, state):
+    """R4, R5: a lost response must not be guessed either way."""
+
+    async def scenario():
+        client = FaultyKeyValue(["ok", "ok", fault])
+        writer = Writer(client).writer
+        assert (await writer.claim(claim("a"))).state == state
+        assert (await writer.settle(settle("released", "a"))).recorded
+        await asyncio.sleep(2 * LATE_S)
+        assert client.holder(PLACE) is None
+
+    run(scenario())
+
+
+def test_outage_after_a_lost_response_is_unknown_not_unavailable():
+    """R4: a claim that may be held must not be reported as not run."""
+
+    async def scenario():
+        client = FaultyKeyValue(["ok", "ok", "late", "dropped"])
+        writer = Writer(client).writer
+        first = asyncio.create_task(writer.claim(claim("a")))
+        await asyncio.sleep(0.05)
+        client.available = False
+        second = await writer.claim(claim("b", "k2"))
+        assert second.state == "unavailable"
+        assert (await first).state == "unknown"
+        release = asyncio.create_task(writer.settle(settle("released", "a")))
+        await asyncio.sleep(1)
+        assert not release.done()
+        client.available = True
+        assert (await release).recorded
+        await asyncio.sleep(2 * LATE_S)
+        assert client.holder(PLACE) is None
+
+    run(scenario())
+
+
+def test_outage_answers_claims_while_a_result_waits():
+    """R4: a result that cannot be stored must not hold up claims."""
+
+    async def scenario():
+        client = FaultyKeyValue()
+        writer = Writer(client).writer
+        await writer.claim(claim("a"))
+        client.available = False
+        done = settle("done", "a", answer=ANSWER)
+        task = asyncio.create_task(writer.settle(done))
+        assert (await writer.claim(claim("b", "k2"))).state == "unavailable"
+        client.available = True
+        assert (await task).recorded
+
+    run(scenario())
+
+
+def test_writers_of_an_hour_share_a_lease():
+    """R18: replaced instances must not leave a lease each."""
+
+    async def scenario():
+        client = FaultyKeyValue()
+        for i in range(5):
+            await Writer(client, f"w{i}").writer.claim(claim("a", f"k{i}"))
+        assert client.calls["grant_lease"] == 1
+        for _ in range(2):  # The loop refuses to sleep for a day at once.
+            await asyncio.sleep(claimlease.LEASE_TTL_S / 2 + 1)
+        assert not (await client.range(claimwriter.PREFIX)).values
+
+    run(scenario())
+
+
+def test_drain_answers_everything():
+    """R7: a planned stop must record results that are on their way."""
+
+    async def scenario():
+        held = Writer(FaultyKeyValue())
+        await held.writer.claim(claim("a"))
+        done = held.writer.settle(settle("done", "a", answer=ANSWER))
+        task = asyncio.create_task(done)
+        await asyncio.sleep(0)
+        assert await held.writer.drain(5.0)
+        assert (await task).recorded
+        late = await held.writer.claim(claim("b"))
+        assert late.state == "unavailable"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("after", [False, True])
+@pytest.mark.parametrize("call", range(1, 6))
+def test_writer_death_at_every_call(call, after):
+    """R5: a claim that outlives its writer must be granted to one token."""
+
+    async def scenario():
+        client = FaultyKeyValue()
+        client.crash_at = (call, after)
+        first = Writer(client, "w1")
+        client.crash = first.crash
+        result = await first.ask(first.writer.claim(claim("a")))
+        second = Writer(client, "w2")
+        if result is None:
+            result = await second.ask(second.writer.claim(claim("a")))
+        assert result.state == "granted"
+        assert (await second.writer.claim(claim("b"))).state == "unknown"
+
+    run(scenario())
+
+
+async def _operate(writers, script, key, sent, not_run, index):
+    """Runs one caller's operation as an entry instance does."""
+    start_s, first, second, outcome = script
+    await asyncio.sleep(start_s)
+    book = idempotency.ClaimBook(random.Random(index))
+    ask = book.begin("acme", key, "f")
+    token = ask.token
+    result = await writers[first].ask(writers[first].writer.claim(ask))
+    if result is None:
+        ask = book.ask_again(token)
+        result = await writers[second].ask(writers[second].writer.claim(ask))
+    if result is None:
+        return
+    verdict = book.receive(result)
+    if isinstance(verdict, errors.Failure):
+        if verdict.outcome is errors.Outcome.NOT_RUN:
+            not_run.add((key, token))
+        return
+    if verdict is not None:
+        return
+    if outcome != "not_run":
+        sent.append(key)
+        end = ANSWER if outcome == "done" else errors.Outcome.UNKNOWN
+        message = book.finish(token, end)
+    else:
+        message = book.finish(token, errors.Outcome.NOT_RUN)
+    settled = await writers[first].ask(writers[first].writer.settle(message))
+    if settled and settled.recorded and message.state == "released":
+        not_run.add((key, token))
+
+
+SCRIPT = st.tuples(
+    st.sampled_from([0.0, 0.05, 1.0, 4.0]),
+    st.integers(0, 2),
+    st.integers(0, 2),
+    st.sampled_from(["done", "unknown", "not_run"]),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(
+    st.lists(SCRIPT, min_size=2, max_size=8),
+    st.lists(st.sampled_from(FAULTS), max_size=16),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 60)), max_size=2),
+    st.lists(st.integers(0, 60), max_size=2),
+)
+def test_at_most_one_grant_under_faults(scripts, faults, crashes, outages):
+    """R4, R5: faults must neither run a key twice nor hold one not run."""
+
+    async def scenario():
+        client = FaultyKeyValue(faults)
+        writers = [Writer(client, f"w{i}") for i in range(3)]
+        loop = asyncio.get_running_loop()
+        for index, tenths in crashes:
+            loop.call_later(tenths / 10, writers[index].crash)
+        for tenths in outages:
+            loop.call_later(tenths / 10, setattr, client, "available", False)
+            loop.call_later(tenths / 10 + 2, setattr, client, "available", True)
+        sent, not_run = [], set()
+        await asyncio.gather(
+            *(
+                _operate(writers, script, f"k{i % 2}", sent, not_run, i)
+                for i, script in enumerate(scripts)
+            )
+        )
+        await asyncio.sleep(3 * LATE_S)
+        for writer in writers:
+            await writer.stop()
+        assert len(sent) == len(set(sent))
+        for key, token in not_run:
+            held = client.holder(idempotency.claim_key("acme", key))
+            assert held is None or held.token != token
+
+    run(scenario())
