--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module has `run() -> list[dict]`."""
+"""Benchmarks; each module prints its figures."""
--- /dev/null
+++ b/carobsail/exchange.py
@@ -0,0 +1,203 @@
+"""One caller request from arrival to the end of its answer.
+
+The aggregate holds the rules that keep a request to one whole answer: which
+attempt may still deliver, whether the request may be sent again, and what is
+known about its execution.
+"""
+
+import dataclasses
+import enum
+
+from carobsail import errors, eventstream, requests
+
+
+class State(enum.Enum):
+    """State of an exchange."""
+
+    WAITING = enum.auto()  # No attempt is under way.
+    SENT = enum.auto()  # An attempt is under way, nothing is delivered.
+    ANSWERING = enum.auto()  # Part of the answer is delivered.
+    DONE = enum.auto()
+    FAILED = enum.auto()
+
+
+class Action(enum.Enum):
+    """What may follow a failed attempt."""
+
+    SEND_AGAIN = enum.auto()
+    RESUME = enum.auto()
+    GIVE_UP = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """Aggregate of one caller request.
+
+    Attributes:
+      request: The checked request.
+      arrival: Loop time of arrival in seconds.
+      state: Present state.
+      attempt: Identifier of the attempt that may deliver, or empty.
+      target: Target of that attempt.
+      attempt_ids: Identifiers of all attempts begun.
+      dropped: Messages of other attempts that were dropped.
+      delivered: Answer bytes passed to the caller.
+      streamed_by: Attempt that began the streamed answer.
+      events: Events of a streamed answer passed to the caller.
+      first_byte_at: Loop time of the first answer byte, if any.
+      cursor: Position in a streamed answer.
+    """
+
+    request: requests.CallerRequest
+    arrival: float
+    state: State = State.WAITING
+    attempt: str = ""
+    target: str = ""
+    attempt_ids: list[str] = dataclasses.field(default_factory=list)
+    dropped: int = 0
+    delivered: int = 0
+    streamed_by: str = ""
+    events: int = 0
+    first_byte_at: float | None = None
+    cursor: eventstream.EventCursor = dataclasses.field(
+        default_factory=eventstream.EventCursor
+    )
+    _received: int = 0
+    _may_have_run: bool = False
+
+    @property
+    def due(self) -> float:
+        """Loop time at which the whole answer is due, in seconds."""
+        return self.arrival + self.request.due_s
+
+    @property
+    def attempts(self) -> int:
+        """Number of attempts begun."""
+        return len(self.attempt_ids)
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the operation may run more than once."""
+        return self.request.operation.idempotent
+
+    def may_send(self) -> bool:
+        """Tells whether a new attempt may begin.
+
+        A non-idempotent operation may not once an attempt of it may have run.
+        """
+        if self.state is not State.WAITING:
+            return False
+        return self.idempotent or not self._may_have_run
+
+    def begin(self, attempt: str, target: str) -> None:
+        """Begins an attempt.
+
+        Raises:
+          RuntimeError: The request may not be sent again.
+        """
+        if not self.may_send():
+            raise RuntimeError(f"{attempt}: the request may not be sent again")
+        self._begin(attempt, target)
+        self.state = State.SENT
+
+    def resume(self, attempt: str, target: str) -> None:
+        """Begins an attempt that continues a delivered stream.
+
+        Raises:
+          RuntimeError: There is no stream to continue.
+        """
+        if self.state is not State.ANSWERING or not self.cursor.last_event():
+            raise RuntimeError(f"{attempt}: there is no stream to continue")
+        self.cursor.restart()
+        self._begin(attempt, target)
+
+    def _begin(self, attempt: str, target: str) -> None:
+        self.attempt = attempt
+        self.target = target
+        self.attempt_ids.append(attempt)
+        self._received = 0
+
+    def accepts(self, attempt: str) -> bool:
+        """Tells whether a message of `attempt` belongs to this exchange.
+
+        Messages of earlier attempts are late or crossed; they are counted.
+        """
+        live = self.state in (State.SENT, State.ANSWERING)
+        if live and attempt == self.attempt:
+            return True
+        self.dropped += 1
+        return False
+
+    def receive(self, data: bytes, now: float) -> bytes:
+        """Takes bytes of a streamed answer.
+
+        Args:
+          data: Bytes as received.
+          now: Loop time in seconds.
+
+        Returns:
+          The bytes to deliver, which end with a whole event.
+        """
+        self._received += len(data)
+        ready = self.cursor.feed(data)
+        if ready:
+            self.state = State.ANSWERING
+            self.delivered += len(ready)
+            self.events += ready.count(b"\n\n")
+            if self.first_byte_at is None:
+                self.first_byte_at = now
+                self.streamed_by = self.attempt
+        return ready
+
+    def collect(self, data: bytes) -> None:
+        """Counts bytes of an answer that is delivered when it is whole."""
+        self._received += len(data)
+
+    def finish(self, length: int) -> errors.Failure | None:
+        """Ends the current attempt.
+
+        Args:
+          length: Number of answer bytes that the owner passed on.
+
+        Returns:
+          None when the answer is whole, else a failure with reason ANSWER_CUT.
+        """
+        if self._received != length:
+            detail = f"received {self._received} of {length} bytes"
+            return self._cut(detail)
+        self.state = State.DONE
+        return None
+
+    def _cut(self, detail: str) -> errors.Failure:
+        return errors.Failure(
+            errors.Reason.ANSWER_CUT,
+            errors.Step.ANSWER,
+            self.target,
+            errors.Outcome.FAILED,
+            detail,
+        )
+
+    def fail_attempt(self, failure: errors.Failure) -> Action:
+        """Ends the current attempt with a failure and says what may follow."""
+        self.attempt = ""
+        if failure.outcome is not errors.Outcome.NOT_RUN:
+            self._may_have_run = True
+        if self.state is State.ANSWERING:
+            resumable = self.cursor.last_event()
+            return Action.RESUME if resumable else Action.GIVE_UP
+        self.state = State.WAITING
+        return Action.SEND_AGAIN if self.may_send() else Action.GIVE_UP
+
+    def conclude(self, failure: errors.Failure) -> errors.Failure:
+        """Ends the exchange and returns the failure that the caller sees.
+
+        An outcome NOT_RUN is only kept when no attempt may have run.
+        """
+        if self.state in (State.SENT, State.ANSWERING):
+            self._may_have_run = True
+        self.state = State.FAILED
+        if not self._may_have_run:
+            return dataclasses.replace(failure, outcome=errors.Outcome.NOT_RUN)
+        known = self.idempotent
+        outcome = errors.Outcome.FAILED if known else errors.Outcome.UNKNOWN
+        return dataclasses.replace(failure, outcome=outcome)
