Close gaps in the tests of the input and output layer

Trial mutations on a scratch copy survived: late stray answers, a close that had just arrived, places leaked by failed requests, late requests during a drain, a plain 503, a failed resumption and a wrong range end. Each has a test now; the key-value stand-in honours range_end.

--- a/carobsail/standin_keyvalue.py
+++ b/carobsail/standin_keyvalue.py
@@ -96,13 +96,10 @@
         }
 
     async def _read(self, body: dict[str, Any]) -> RangeResult:
-        key, end = _text(body["key"]), _bytes(body.get("range_end", ""))
-        result = await self.store.range("" if end == b"\0" else key)
+        result = await self.store.range("")
         assert isinstance(result, RangeResult)
-        if not end:
-            same = tuple(v for v in result.values if v.key == key)
-            return RangeResult(result.revision, same)
-        return result
+        found = tuple(v for v in result.values if _in_range(v.key, body))
+        return RangeResult(result.revision, found)
 
     async def _transact(self, body: dict[str, Any]) -> object:
         compares = []
@@ -151,9 +148,8 @@
     async def _watch(
         self, create: dict[str, Any], responder: httpserver.Responder
     ) -> None:
-        prefix = _text(create["key"]) if _text(create["key"]) != "\0" else ""
         changes = aiter(
-            self.store.watch(prefix, int(create.get("start_revision", 1)))
+            self.store.watch("", int(create.get("start_revision", 1)))
         )
         await responder.start(200, _JSON)
         created = {"result": {"header": {}, "created": True}}
@@ -173,7 +169,10 @@
                     break
                 events = step.result()
                 assert not isinstance(events, errors.Failure)
-                result = {"header": {}, "events": [_event(e) for e in events]}
+                found = [_event(e) for e in events if _in_range(e.key, create)]
+                if not found:
+                    continue
+                result = {"header": {}, "events": found}
                 line = msgspec.json.encode({"result": result}) + b"\n"
                 await responder.write(line)
         finally:
@@ -188,6 +187,14 @@
     await responder.send(status, _JSON, msgspec.json.encode(body))
 
 
+def _in_range(key: str, body: dict[str, Any]) -> bool:
+    """Tells whether a key lies between `key` and `range_end` of a call."""
+    first, end = _bytes(body["key"]), _bytes(body.get("range_end", ""))
+    if not end:
+        return key.encode() == first
+    return first <= key.encode() and (end == b"\0" or key.encode() < end)
+
+
 def _bytes(text: str) -> bytes:
     return base64.b64decode(text)
 
--- a/tests/test_enginehttp.py
+++ b/tests/test_enginehttp.py
@@ -89,6 +89,9 @@
     assert standin.executions["a1"] == 1
     gone = await client.resume(build.dispatch(b"", attempt="a2"), "3")
     assert gone.outcome is errors.Outcome.FAILED
+    await standin.stop()
+    refused = await client.resume(request, "3")
+    assert refused.outcome is errors.Outcome.FAILED
 
 
 async def test_cancel_frees_the_slot():
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -48,9 +48,12 @@
 async def test_cut_after_writing_is_unknown(answer, reason):
     """R3, R4: a cut at any later stage is neither whole nor not run."""
     listener = await build.raw_server(answer)
-    failure = await call(build.pool(build.port_of(listener)))
+    pool = build.pool(build.port_of(listener), limit=1)
+    failure = await call(pool)
     assert failure.reason is reason
     assert failure.outcome is errors.Outcome.UNKNOWN
+    # The failed request must have freed its place in the pool.
+    assert (await call(pool)).reason is errors.Reason.CONNECTION_LOST
 
 
 async def test_close_of_a_reused_connection_is_unknown():
@@ -141,3 +144,40 @@
     await chunks.aclose()
     assert await call(pool) == b"ok"
     assert pool.connects == 2
+
+
+async def test_late_stray_answer_reaches_no_later_request():
+    """R3: an answer sent twice must not answer the next request."""
+
+    async def accept(reader, writer):
+        while data := await reader.read(65_536):
+            body = data[-1:]
+            whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body
+            writer.write(whole)
+            await asyncio.sleep(1.0)
+            writer.write(whole)
+        writer.close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    pool = build.pool(build.port_of(listener))
+    assert await call(pool, b"1") == b"1"
+    await asyncio.sleep(2.0)
+    assert await call(pool, b"2") == b"2"
+
+
+async def test_close_that_has_just_arrived_is_seen_before_writing():
+    """R4: a close that the loop has not read yet must still be found."""
+    writers = []
+
+    async def accept(reader, writer):
+        writers.append(writer)
+        while await reader.read(65_536):
+            writer.write(WHOLE)
+        writer.close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    pool = build.pool(build.port_of(listener))
+    assert await call(pool) == b"ok"
+    writers[0].write_eof()
+    assert await call(pool) == b"ok"
+    assert pool.connects == 2
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -92,6 +92,25 @@
     late.close()
 
 
+async def test_drain_answers_late_requests_and_closes_their_connections():
+    """R7: a request that was on its way when the stop began is answered."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(5.0)
+        await responder.send(200, [], request.path.encode())
+
+    server = await build.server(handler)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    drain = asyncio.create_task(server.drain())
+    await asyncio.sleep(0.2)
+    writer.write(GET)
+    received = await reader.read()
+    assert received.endswith(b"/a")
+    assert b"connection: close" in received.lower()
+    await drain
+
+
 async def test_drain_closes_idle_connections():
     """R7: an idle keep-alive connection must not hold up a planned stop."""
     server = await build.server()
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -61,6 +61,19 @@
     assert not standin.bookings
 
 
+async def test_plain_503_is_an_answer():
+    """R4: a 503 without the mark proves nothing about the execution."""
+
+    async def handler(request, responder):
+        await responder.send(503, [], b"busy")
+
+    server = await build.server(handler)
+    client = services.HttpService("s1", f"127.0.0.1:{server.port}")
+    answer = await client.send(booking())
+    assert answer.status == 503
+    assert await build.collect(answer) == (b"busy", None)
+
+
 async def test_inventory_lags_and_fails_as_a_value():
     """R12: the inventory is old, and its outage must not raise."""
     standin = InventoryStandin(b"1", lag_s=5.0)
