Keep lost attempts as suspects until the target was probed

Cause: an attempt left the table of attempts in flight before the probe that decides on a crash, so a crash made no suspects (found by test_crash_makes_suspects_of_all_requests_in_flight).

--- /dev/null
+++ b/carobsail/clients.py
@@ -0,0 +1,51 @@
+"""Clients of targets, one for each target and address."""
+
+import abc
+
+from carobsail import (
+    answers,
+    enginehttp,
+    engines,
+    inventory,
+    ownedtargets,
+    services,
+)
+
+
+class Clients(abc.ABC):
+    """Creates and keeps the clients of targets."""
+
+    @abc.abstractmethod
+    def engine(self, target: inventory.Target) -> engines.EngineClient:
+        """Returns the client of an engine."""
+
+    @abc.abstractmethod
+    def sender(self, target: inventory.Target) -> answers.Sender:
+        """Returns what sends requests to an engine or service."""
+
+
+class HttpClients(Clients):
+    """Clients over HTTP."""
+
+    __slots__ = ("_engines", "_services")
+
+    def __init__(self) -> None:
+        """Creates no client yet."""
+        self._engines: dict[tuple[str, str], enginehttp.HttpEngine] = {}
+        self._services: dict[tuple[str, str], services.HttpService] = {}
+
+    def engine(self, target: inventory.Target) -> engines.EngineClient:
+        """See base class."""
+        key = (target.name, target.address)
+        if key not in self._engines:
+            self._engines[key] = enginehttp.HttpEngine(*key)
+        return self._engines[key]
+
+    def sender(self, target: inventory.Target) -> answers.Sender:
+        """See base class."""
+        if target.kind is inventory.Kind.ENGINE:
+            return ownedtargets.EngineSender(self.engine(target))
+        key = (target.name, target.address)
+        if key not in self._services:
+            self._services[key] = services.HttpService(*key)
+        return ownedtargets.ServiceSender(self._services[key], target.name)
--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -91,6 +91,7 @@
     Attributes:
       data_centre: The instance's data centre.
       listed: The inventory, once known.
+      version: Version of the inventory.
       adapter_models: Model of each adapter.
     """
 
@@ -107,6 +108,7 @@
         "adapter_models",
         "data_centre",
         "listed",
+        "version",
     )
 
     def __init__(
@@ -128,6 +130,7 @@
         """
         self.data_centre = data_centre
         self.listed: inventory.Inventory | None = None
+        self.version = 0
         self.adapter_models: dict[str, str] = {}
         self._dispatcher = owned
         self._models_of = models_of
@@ -143,8 +146,11 @@
         """Sets the function that tells whether a data centre is reachable."""
         self._gateways = reachable
 
-    def update_inventory(self, listed: inventory.Inventory) -> None:
-        """Takes over a newer inventory."""
+    def update_inventory(
+        self, listed: inventory.Inventory, version: int
+    ) -> None:
+        """Takes over an inventory of a version."""
+        self.version = version
         self.listed = listed
         self.adapter_models = {a.name: a.model for a in listed.adapters}
         own = listed.in_data_centre(self.data_centre)
--- /dev/null
+++ b/carobsail/entry.py
@@ -0,0 +1,233 @@
+"""The entry process: serves callers of one entry instance."""
+
+import asyncio
+import logging
+import os
+import random
+import sys
+import time
+from typing import Annotated
+
+import fire
+import msgspec
+
+from carobsail import (
+    callmeter,
+    clients,
+    entryinstance,
+    errors,
+    etcd,
+    httpserver,
+    keyvalue,
+    messages,
+    operatorport,
+    peers,
+    settings,
+    signals,
+    telemetry,
+)
+
+DEFAULT_CALLS_PER_S = 10.0
+
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class CallerBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the callers' port.
+
+    Attributes:
+      header_bytes: Request line and headers of one request.
+      body_bytes: Body of one request.
+      connections: Open connections.
+    """
+
+    header_bytes: Positive = 32_768
+    body_bytes: Positive = 4_194_304
+    connections: Positive = 4096
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of `carobsail-entry`.
+
+    Attributes:
+      instance: Name of the instance.
+      data_centre: Data centre of the instance.
+      caller_listen: `host:port` of the callers' port.
+      peer_listen: `host:port` of the peer port.
+      operator_listen: `host:port` of the operator port.
+      key_value_url: URL of the key-value service.
+      peer_secrets: Shared secrets; the first is current, others are accepted.
+      statsd: `host:port` of the statsd server; empty for none.
+      log_level: `debug`, `info`, `warning` or `error`.
+      routing_policy: Name of the routing policy.
+      bounds: Bounds of the callers' port.
+    """
+
+    instance: str
+    data_centre: str
+    caller_listen: str
+    peer_listen: str
+    operator_listen: str
+    key_value_url: str
+    peer_secrets: list[str]
+    statsd: str = ""
+    log_level: str = "info"
+    routing_policy: str = "due_time"
+    bounds: CallerBounds = CallerBounds()
+
+
+def build_instance(
+    loaded: EntrySettings, service: keyvalue.KeyValueClient
+) -> entryinstance.EntryInstance:
+    """Builds the instance that the settings describe.
+
+    Args:
+      loaded: Settings of the process.
+      service: Client of the key-value service.
+    """
+    hello = messages.Hello(
+        messages.PROTOCOL_VERSION,
+        messages.PROTOCOL_VERSION,
+        loaded.instance,
+        loaded.data_centre,
+        time.time_ns(),
+        entryinstance.ENTRY,
+    )
+    secrets = [secret.encode() for secret in loaded.peer_secrets]
+
+    async def connect(address: str) -> peers.Link | errors.Failure:
+        return await peers.connect_peer(address, hello, secrets)
+
+    return entryinstance.EntryInstance(
+        entryinstance.Surroundings(
+            hello=hello,
+            key_value=callmeter.CallMeter(service, DEFAULT_CALLS_PER_S),
+            connect=connect,
+            clients=clients.HttpClients(),
+            secrets=secrets,
+            rng=random.Random(os.urandom(16)),
+            wall_clock=time.time,
+            metrics=telemetry.Metrics(loaded.statsd),
+            log=logging.getLogger(telemetry.LOGGER_NAME),
+            routing_policy=loaded.routing_policy,
+        )
+    )
+
+
+class EntryServers:
+    """The three ports of an entry process.
+
+    Attributes:
+      instance: The instance behind the ports.
+      callers: Callers' port.
+      operators: Operator port.
+    """
+
+    def __init__(
+        self,
+        instance: entryinstance.EntryInstance,
+        callers: httpserver.Server,
+        operators: httpserver.Server,
+        peer_server: peers.PeerServer,
+    ) -> None:
+        """Takes servers that listen already."""
+        self.instance = instance
+        self.callers = callers
+        self.operators = operators
+        self._peers = peer_server
+
+    async def stop(self) -> None:
+        """Stops gracefully: cuts no request in flight."""
+        await self.instance.leave()
+        await self.callers.drain()
+        await self.instance.stop()
+        self._peers.close()
+        await self.operators.close()
+
+    async def kill(self) -> int:
+        """Stops at once; returns the number of callers' requests cut."""
+        cut = await self.callers.close()
+        await self.instance.kill()
+        self._peers.close()
+        await self.operators.close()
+        return cut
+
+
+async def start(
+    loaded: EntrySettings, service: keyvalue.KeyValueClient
+) -> EntryServers:
+    """Starts an entry instance with its ports.
+
+    Args:
+      loaded: Settings of the process.
+      service: Client of the key-value service.
+    """
+    instance = build_instance(loaded, service)
+    secrets = [secret.encode() for secret in loaded.peer_secrets]
+    host, port = settings.parse_address(loaded.peer_listen)
+    peer_server = await peers.serve_peers(
+        host, port, instance.hello, secrets, instance.on_link
+    )
+    host, port = settings.parse_address(loaded.operator_listen)
+    operators = await httpserver.serve(
+        host,
+        port,
+        operatorport.OperatorPort(
+            dump=instance.dump,
+            healthy=lambda: not instance.failed.is_set(),
+            ready=lambda: instance.gateway.ready,
+        ).handle,
+        httpserver.Bounds(),
+        "operators",
+    )
+    host, port = settings.parse_address(loaded.caller_listen)
+    bounds = httpserver.Bounds(
+        header_bytes=loaded.bounds.header_bytes,
+        body_bytes=loaded.bounds.body_bytes,
+        connections=loaded.bounds.connections,
+    )
+    callers = await httpserver.serve(
+        host, port, instance.gateway.handle, bounds, "callers"
+    )
+    instance.start()
+    return EntryServers(instance, callers, operators, peer_server)
+
+
+async def serve(loaded: EntrySettings) -> int:
+    """Runs the process until a signal.
+
+    Returns:
+      The exit code: 0 after a planned stop, 1 after a fault.
+    """
+    service = etcd.EtcdGateway(loaded.key_value_url.removeprefix("http://"))
+    servers = await start(loaded, service)
+    failed = servers.instance.failed
+    log = logging.getLogger(telemetry.LOGGER_NAME)
+    telemetry.log(log, "started", instance=loaded.instance)
+    stop_signals = signals.StopSignals()
+    await stop_signals.wait(failed)
+    telemetry.log(log, "stopping", instance=loaded.instance)
+    await stop_signals.stop(servers.stop, servers.kill, log)
+    service.close()
+    telemetry.log(log, "stopped", instance=loaded.instance)
+    return 1 if failed.is_set() else 0
+
+
+def run(path: str) -> None:
+    """Runs an entry instance with the settings file at `path`."""
+    try:
+        loaded = settings.load(path, EntrySettings)
+    except settings.SettingsError as error:
+        raise SystemExit(str(error)) from error
+    telemetry.configure_logging(loaded.log_level, sys.stderr)
+    raise SystemExit(asyncio.run(serve(loaded)))
+
+
+def main() -> None:
+    """Entry point of `carobsail-entry`."""
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/carobsail/flights.py
+++ b/carobsail/flights.py
@@ -24,7 +24,6 @@
       crashes_at_start: Crashes known of the request when it was sent.
       progress_at: Loop time of the last byte, in seconds.
       stalled: Whether it was cancelled because nothing came.
-      lost: Whether its connection broke before the answer was whole.
     """
 
     request: messages.Dispatch
@@ -32,7 +31,6 @@
     crashes_at_start: int
     progress_at: float
     stalled: bool = False
-    lost: bool = False
 
     def limit_s(self) -> float:
         """Returns how long the attempt may make no progress, in seconds."""
--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -96,6 +96,7 @@
         targets: directory.TargetDirectory,
         policy: routing.RoutingPolicy,
         transport: Transport,
+        receivers: attempts.Receivers,
         metrics: telemetry.Metrics,
         rng: random.Random,
     ) -> None:
@@ -106,10 +107,11 @@
           targets: Known targets.
           policy: Routing policy.
           transport: Sends attempts.
+          receivers: Receives their answers.
           metrics: Counts and timings.
           rng: Source of the backoff's jitter.
         """
-        self.receivers = attempts.Receivers()
+        self.receivers = receivers
         self._prefix = prefix
         self._directory = targets
         self._policy = policy
--- /dev/null
+++ b/carobsail/operatorport.py
@@ -0,0 +1,49 @@
+"""Operator port of a process: health, readiness and state dump."""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+
+from carobsail import httpserver, telemetry
+
+_TEXT = [("content-type", "text/plain")]
+_JSON = [("content-type", "application/json")]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OperatorPort:
+    """Answers operators.
+
+    Attributes:
+      dump: Returns the state as plain data.
+      healthy: Tells whether all duties of the process run.
+      ready: Tells whether the process takes work.
+    """
+
+    dump: Callable[[], dict[str, object]]
+    healthy: Callable[[], bool]
+    ready: Callable[[], bool]
+
+    async def handle(
+        self, request: httpserver.Request, responder: httpserver.Responder
+    ) -> None:
+        """Answers `/healthz`, `/readyz` and `/dump`."""
+        match request.path:
+            case "/healthz":
+                await _answer(responder, self.healthy(), "healthy")
+            case "/readyz":
+                await _answer(responder, self.ready(), "ready")
+            case "/dump":
+                plain = msgspec.to_builtins(self.dump(), str_keys=True)
+                body = msgspec.json.encode(telemetry.redact(plain))
+                await responder.send(200, _JSON, body)
+            case _:
+                await responder.send(404, _TEXT, b"not found\n")
+
+
+async def _answer(
+    responder: httpserver.Responder, holds: bool, word: str
+) -> None:
+    text = word if holds else f"not {word}"
+    await responder.send(200 if holds else 503, _TEXT, f"{text}\n".encode())
--- a/carobsail/peers.py
+++ b/carobsail/peers.py
@@ -24,12 +24,15 @@
     "MemoryLink",
     "MemoryNetwork",
     "OnLink",
+    "PeerServer",
     "PeerSet",
     "WebsocketLink",
     "connect_peer",
     "serve_peers",
 ]
 
+PeerServer = websocket_server.Server
+
 HANDSHAKE_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 # Bound of a handshake frame, so that an unauthenticated peer holds little.
--- a/carobsail/targetrunner.py
+++ b/carobsail/targetrunner.py
@@ -20,6 +20,7 @@
 
 # After this long without a report, a lost connection counts as a crash.
 PROBE_TIMEOUT_S = 1.0
+_LOST = (errors.Reason.CONNECTION_LOST, errors.Reason.ANSWER_CUT)
 
 
 class AdapterGate(abc.ABC):
@@ -62,10 +63,10 @@
       healthy: False after a crash until the target answers again.
       flights: Attempts sent and not ended.
       work: Exact work in flight, for predictions.
+      adapters: Adapter pool; None for services.
     """
 
     __slots__ = (
-        "_adapters",
         "_incarnation",
         "_probe",
         "_queue",
@@ -73,6 +74,7 @@
         "_serves",
         "_shared",
         "_starts",
+        "adapters",
         "flights",
         "healthy",
         "owned",
@@ -84,7 +86,6 @@
         self,
         target: inventory.Target,
         sender: answers.Sender,
-        adapters: AdapterGate | None,
         serves: Callable[[str], bool],
         shared: Shared,
     ) -> None:
@@ -93,7 +94,6 @@
         Args:
           target: The target.
           sender: Its client.
-          adapters: Its adapter pool; None for services.
           serves: Tells whether a model can be sent here now.
           shared: What the runners of this instance share.
         """
@@ -103,7 +103,7 @@
         self.flights = flights.Flights()
         self.work = estimation.TargetWork(target)
         self._sender = sender
-        self._adapters = adapters
+        self.adapters: AdapterGate | None = None
         self._serves = serves
         self._shared = shared
         self._queue = admission.TargetQueue(target.name, target.slots)
@@ -124,13 +124,13 @@
 
     def resident_adapters(self) -> list[str]:
         """Returns the adapters that are resident."""
-        return self._adapters.resident() if self._adapters else []
+        return self.adapters.resident() if self.adapters else []
 
     def adapter_load_s(self, adapter: str) -> float:
         """Returns seconds until an adapter is resident."""
-        if not adapter or self._adapters is None:
+        if not adapter or self.adapters is None:
             return 0.0
-        return self._adapters.load_s(adapter)
+        return self.adapters.load_s(adapter)
 
     async def run(
         self, request: messages.Dispatch, sink: attempts.Sink
@@ -200,18 +200,18 @@
         self, request: messages.Dispatch
     ) -> asyncio.Task[None | errors.Failure] | None:
         """Starts the load before the request gets its slot."""
-        if not request.adapter or self._adapters is None:
+        if not request.adapter or self.adapters is None:
             return None
-        return asyncio.create_task(self._adapters.acquire(request.adapter))
+        return asyncio.create_task(self.adapters.acquire(request.adapter))
 
     def _release_adapter(
         self,
         request: messages.Dispatch,
         loading: asyncio.Task[None | errors.Failure] | None,
     ) -> None:
-        if loading is None or self._adapters is None:
+        if loading is None or self.adapters is None:
             return
-        gate = self._adapters
+        gate = self.adapters
 
         def release(task: asyncio.Task[None | errors.Failure]) -> None:
             if not task.cancelled() and task.exception() is None:
@@ -283,7 +283,22 @@
         flight = flights.Flight(request, task, crashes, now)
         self.flights.add(flight)
         try:
-            failure = await answers.relay(
+            failure = await self._relay(flight, sink)
+            if failure is not None and failure.reason in _LOST:
+                await self._examine_loss()
+        finally:
+            self.flights.remove(request.attempt)
+        if failure is None:
+            self._observe(request, now)
+            self._shared.suspects.finished(request.fingerprint, _now())
+        return failure
+
+    async def _relay(
+        self, flight: flights.Flight, sink: attempts.Sink
+    ) -> errors.Failure | None:
+        request = flight.request
+        try:
+            return await answers.relay(
                 self._sender,
                 flight,
                 sink,
@@ -294,29 +309,14 @@
             await self._sender.cancel(request.resume_of or request.attempt)
             if not flight.stalled:
                 raise
-            task.uncancel()
-            failure = answers.after_start(
-                request,
-                errors.Failure(
-                    errors.Reason.TIMEOUT,
-                    errors.Step.ANSWER,
-                    self.target.name,
-                    detail="the target made no progress",
-                ),
-            )
-        finally:
-            if not flight.lost:
-                self.flights.remove(request.attempt)
-        if failure is None:
-            self._observe(request, now)
-            self._shared.suspects.finished(request.fingerprint, _now())
-            return None
-        if failure.reason in (
-            errors.Reason.CONNECTION_LOST,
-            errors.Reason.ANSWER_CUT,
-        ):
-            await self._examine_loss(flight)
-        return failure
+            flight.task.uncancel()
+        stalled = errors.Failure(
+            errors.Reason.TIMEOUT,
+            errors.Step.ANSWER,
+            self.target.name,
+            detail="the target made no progress",
+        )
+        return answers.after_start(request, stalled)
 
     def _observe(self, request: messages.Dispatch, started: float) -> None:
         work = estimation.Work(request.prompt_tokens, request.output_tokens)
@@ -330,20 +330,16 @@
             _now() - started,
         )
 
-    async def _examine_loss(self, flight: flights.Flight) -> None:
+    async def _examine_loss(self) -> None:
         """Finds out whether a lost connection was a crash of the target.
 
         Attempts that lost their connections together wait for one probe, so
         that all of them are known as suspects of the same crash.
         """
-        flight.lost = True
         if self._probe is None:
             self._probe = asyncio.create_task(self._probe_target())
             self._probe.add_done_callback(self._end_probe)
-        try:
-            await asyncio.shield(self._probe)
-        finally:
-            self.flights.remove(flight.request.attempt)
+        await asyncio.shield(self._probe)
 
     def _end_probe(self, probe: asyncio.Task[bool]) -> None:
         self._probe = None
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,162 @@
+"""In-memory targets and sinks for tests of the request path."""
+
+import asyncio
+
+from carobsail import (
+    answers,
+    attempts,
+    engines,
+    errors,
+    inventory,
+    messages,
+    suspects,
+    targetrunner,
+    telemetry,
+)
+from carobsail import estimation as estimating
+
+EVENTS = [b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 11)]
+STREAM = b"".join(EVENTS)
+SSE = [("content-type", "text/event-stream")]
+
+
+class FakeStream(engines.AnswerStream):
+    """Yields parts; a number waits that many seconds first."""
+
+    def __init__(self, parts, status=200, headers=None):
+        self.status = status
+        self.headers = SSE if headers is None else headers
+        self.closed = False
+        self._parts = parts
+
+    async def chunks(self):
+        for part in self._parts:
+            if isinstance(part, int | float):
+                await asyncio.sleep(part)
+            else:
+                yield part
+
+    async def close(self):
+        self.closed = True
+
+
+class FakeSender(answers.Sender):
+    """A target that follows a script and counts executions.
+
+    Attributes:
+      script: What each coming request gets: a stream, a failure, or a
+        callable that returns one of them.
+      resumes: What each coming resume gets.
+      executions: Attempts that reached the target.
+      cancelled: Attempts that the target was told to stop.
+      start: Number of the target's present start.
+    """
+
+    def __init__(self, script=(), resumes=()):
+        self.script = list(script)
+        self.resumes = list(resumes)
+        self.executions = []
+        self.resumed_after = []
+        self.cancelled = []
+        self.start = 1
+
+    async def send(self, request):
+        step = self.script.pop(0) if self.script else FakeStream(EVENTS)
+        if callable(step):
+            step = await step(request)
+        not_run = errors.Outcome.NOT_RUN
+        if not isinstance(step, errors.Failure) or step.outcome is not not_run:
+            self.executions.append(request.attempt)
+        return step
+
+    async def resume(self, request, last_event):
+        self.resumed_after.append((request.attempt, last_event))
+        return self.resumes.pop(0)
+
+    async def cancel(self, attempt):
+        self.cancelled.append(attempt)
+
+    async def incarnation(self):
+        return self.start
+
+
+class Collector(attempts.Sink):
+    """Keeps the messages of an attempt."""
+
+    def __init__(self):
+        self.messages = []
+        self.wanted = True
+
+    async def put(self, message):
+        self.messages.append(message)
+        return self.wanted
+
+    @property
+    def body(self):
+        chunks = [m for m in self.messages if isinstance(m, messages.Chunk)]
+        return b"".join(chunk.data for chunk in chunks)
+
+    @property
+    def failure(self):
+        last = self.messages[-1]
+        is_failure = isinstance(last, messages.Failed)
+        return last.failure() if is_failure else None
+
+
+def build_dispatch(attempt="a1", **changes) -> messages.Dispatch:
+    """Returns an idempotent streamed model request."""
+    fields = {
+        "attempt": attempt,
+        "target": "engine-1",
+        "account": "counter",
+        "model": "draft",
+        "adapter": "",
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "headers": [],
+        "body": b"{}",
+        "due_in_s": 2.0,
+        "prompt_tokens": 10,
+        "output_tokens": 10,
+        "priority": 5,
+        "idempotent": True,
+        "fingerprint": attempt,
+    }
+    return messages.Dispatch(**(fields | changes))
+
+
+def build_target(**changes) -> inventory.Target:
+    """Returns an engine with two slots."""
+    fields = {
+        "name": "engine-1",
+        "kind": inventory.Kind.ENGINE,
+        "data_centre": "dc-1",
+        "address": "127.0.0.1:1",
+        "pool": "pool-1",
+        "slots": 2,
+    }
+    return inventory.Target(**(fields | changes))
+
+
+def build_runner(sender, target=None, book=None):
+    """Returns the runner of a target that serves the model `draft`."""
+    shared = targetrunner.Shared(
+        "entry-1",
+        suspects.SuspectBook("entry-1") if book is None else book,
+        estimating.Speeds(),
+        telemetry.Metrics(),
+        lambda target: None,
+    )
+    return targetrunner.TargetRunner(
+        target or build_target(),
+        sender,
+        lambda model: model in ("", "draft"),
+        shared,
+    )
+
+
+def build_cut(outcome=errors.Outcome.UNKNOWN) -> errors.Failure:
+    """Returns the failure of an answer whose connection broke."""
+    return errors.Failure(
+        errors.Reason.ANSWER_CUT, errors.Step.ANSWER, "engine-1", outcome
+    )
--- /dev/null
+++ b/tests/test_targetrunner.py
@@ -0,0 +1,169 @@
+"""Guards the owner's side of a target (R3, R4, R5, R6)."""
+
+import asyncio
+
+import fakes
+import pytest
+
+from carobsail import dispatcher, errors, flights, inventory, suspects
+
+pytestmark = pytest.mark.looptime
+
+
+async def test_answer_is_passed_on_whole():
+    """R3: every byte reaches the sink, followed by the right length."""
+    sender = fakes.FakeSender()
+    sink = fakes.Collector()
+    await fakes.build_runner(sender).run(fakes.build_dispatch(), sink)
+    assert sink.body == fakes.STREAM
+    assert sink.messages[-1].length == len(fakes.STREAM)
+
+
+async def test_broken_stream_is_resumed_after_the_last_whole_event():
+    """R3: a connection cut inside an event loses and doubles no token."""
+    first = fakes.FakeStream([*fakes.EVENTS[:4], b"id: 5\nda", cut()])
+    rest = fakes.FakeStream(fakes.EVENTS[4:])
+    sender = fakes.FakeSender([first], [rest])
+    sink = fakes.Collector()
+    await fakes.build_runner(sender).run(fakes.build_dispatch(), sink)
+    assert sink.body == fakes.STREAM
+    assert sender.resumed_after == [("a1", "4")]
+    assert len(sender.executions) == 1
+
+
+async def test_cut_booking_has_an_unknown_outcome():
+    """R4, R5: a service that broke the connection may have booked."""
+    stream = fakes.FakeStream([b"{", cut()], headers=[])
+    sink = fakes.Collector()
+    request = fakes.build_dispatch(model="", idempotent=False)
+    await fakes.build_runner(fakes.FakeSender([stream])).run(request, sink)
+    assert sink.failure.outcome is errors.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("state", ["leaving", "not_owned", "unhealthy"])
+async def test_target_that_takes_no_work_refuses_as_not_run(state):
+    """R4, R6: nothing is sent to a leaving, lost or crashed target."""
+    sender = fakes.FakeSender()
+    leaving = inventory.State.LEAVING
+    listed = inventory.State.LIVE if state != "leaving" else leaving
+    runner = fakes.build_runner(sender, fakes.build_target(state=listed))
+    runner.owned = state != "not_owned"
+    runner.healthy = state != "unhealthy"
+    sink = fakes.Collector()
+    await runner.run(fakes.build_dispatch(), sink)
+    assert sink.failure.outcome is errors.Outcome.NOT_RUN
+    assert sender.executions == []
+
+
+async def test_target_that_starts_to_leave_gets_no_queued_request():
+    """R6: a request that waited for a slot is not sent to a leaving target."""
+    sender = fakes.FakeSender([fakes.FakeStream([1.0, *fakes.EVENTS])])
+    runner = fakes.build_runner(sender, fakes.build_target(slots=1))
+    sinks = [fakes.Collector(), fakes.Collector()]
+    tasks = [
+        asyncio.create_task(runner.run(fakes.build_dispatch(name), sink))
+        for name, sink in zip(("a1", "a2"), sinks, strict=True)
+    ]
+    await asyncio.sleep(0.5)
+    runner.target = fakes.build_target(state=inventory.State.LEAVING)
+    await asyncio.wait(tasks)
+    assert sinks[0].body == fakes.STREAM
+    assert sinks[1].failure.reason is errors.Reason.LEAVING
+    assert sender.executions == ["a1"]
+
+
+async def test_cancelled_waiting_attempt_never_starts():
+    """R4: a request given up in the queue must not run later."""
+    sender = fakes.FakeSender([fakes.FakeStream([1.0, *fakes.EVENTS])])
+    owned = dispatcher.Dispatcher()
+    owned.runners["engine-1"] = fakes.build_runner(
+        sender, fakes.build_target(slots=1)
+    )
+    owned.dispatch(fakes.build_dispatch("a1"), fakes.Collector())
+    owned.dispatch(fakes.build_dispatch("a2"), fakes.Collector())
+    await asyncio.sleep(0.1)
+    owned.cancel("a2")
+    await owned.drain()
+    assert sender.executions == ["a1"]
+
+
+async def test_doubled_dispatch_runs_once():
+    """R5: a message that a link delivered twice must not run twice."""
+    sender = fakes.FakeSender()
+    owned = dispatcher.Dispatcher()
+    owned.runners["engine-1"] = fakes.build_runner(sender)
+    request = fakes.build_dispatch(idempotent=False)
+    owned.dispatch(request, fakes.Collector())
+    owned.dispatch(request, fakes.Collector())
+    await owned.drain()
+    owned.dispatch(request, fakes.Collector())
+    await owned.drain()
+    assert sender.executions == ["a1"]
+
+
+async def test_frozen_engine_is_given_up_and_told():
+    """R3: an engine that stops sending must not hold a caller for ever."""
+    stream = fakes.FakeStream([fakes.EVENTS[0], 3600.0])
+    sender = fakes.FakeSender([stream])
+    owned = dispatcher.Dispatcher()
+    owned.runners["engine-1"] = fakes.build_runner(sender)
+    watch = asyncio.create_task(owned.watch())
+    sink = fakes.Collector()
+    owned.dispatch(fakes.build_dispatch(), sink)
+    started = asyncio.get_running_loop().time()
+    await owned.drain()
+    waited = asyncio.get_running_loop().time() - started
+    watch.cancel()
+    assert waited <= flights.STALL_S + 2 * flights.WATCH_INTERVAL_S
+    assert sink.failure.reason is errors.Reason.TIMEOUT
+    assert sink.failure.outcome is errors.Outcome.FAILED
+    assert sender.cancelled == ["a1"]
+
+
+async def test_crash_makes_suspects_of_all_requests_in_flight():
+    """A request that crashes engines must not be rerun beside others."""
+    book = suspects.SuspectBook("entry-1")
+    sender = fakes.FakeSender()
+    runner = fakes.build_runner(sender, book=book)
+    runner.note_incarnation(1)
+
+    async def crash(request):
+        await asyncio.sleep(0.5)
+        sender.start = 2
+        return cut()
+
+    sender.script = [crash, crash]
+    await asyncio.gather(
+        runner.run(fakes.build_dispatch("a1"), fakes.Collector()),
+        runner.run(fakes.build_dispatch("a2"), fakes.Collector()),
+    )
+    now = asyncio.get_running_loop().time()
+    assert book.verdict("a1", now) is suspects.Verdict.ALONE
+    assert book.verdict("a2", now) is suspects.Verdict.ALONE
+
+
+async def test_cut_connection_without_a_crash_makes_no_suspect():
+    """An innocent request must not be refused for a network fault."""
+    book = suspects.SuspectBook("entry-1")
+    sender = fakes.FakeSender([cut()])
+    runner = fakes.build_runner(sender, book=book)
+    runner.note_incarnation(1)
+    await runner.run(fakes.build_dispatch("a1"), fakes.Collector())
+    now = asyncio.get_running_loop().time()
+    assert book.verdict("a1", now) is suspects.Verdict.NORMAL
+
+
+async def test_unwanted_answer_is_given_up_at_the_engine():
+    """A caller that left must not keep a slot busy."""
+    stream = fakes.FakeStream([*fakes.EVENTS[:1], 5.0, *fakes.EVENTS[1:]])
+    sender = fakes.FakeSender([stream])
+    sink = fakes.Collector()
+    sink.wanted = False
+    await fakes.build_runner(sender).run(fakes.build_dispatch(), sink)
+    assert stream.closed
+    assert sender.cancelled == ["a1"]
+
+
+def cut():
+    """Returns a cut answer."""
+    return fakes.build_cut()
