Test forwarding of callers' requests

Cause: retries, resumes and held answers had no test. Change: scripted transport and seven scenarios on virtual time.

--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,216 @@
+"""Guards retries, resumes and delivery of one caller request (R3, R4, R5)."""
+
+import asyncio
+import random
+
+import builders
+import fakes
+import pytest
+
+from carobsail import (
+    attempts,
+    directory,
+    dispatcher,
+    errors,
+    estimation,
+    exchange,
+    forwarder,
+    inventory,
+    messages,
+    prefixes,
+    routing,
+    telemetry,
+)
+
+pytestmark = pytest.mark.looptime
+
+
+class ScriptedTransport(forwarder.Transport):
+    """Sends attempts to scripted senders by target."""
+
+    def __init__(self, receivers, senders):
+        self.receivers = receivers
+        self.senders = senders
+        self.sent = []
+        self.cancelled = []
+        self.refuse = {}
+        self._tasks = set()
+
+    def send(self, request, place, receiver):
+        self.sent.append((place, request.attempt))
+        if self.refuse.get(place, 0):
+            self.refuse[place] -= 1
+            return errors.Failure(
+                errors.Reason.CONNECT_FAILED, errors.Step.FORWARD, place
+            )
+        runner = fakes.build_runner(self.senders[place])
+        task = asyncio.create_task(runner.run(request, receiver))
+        self._tasks.add(task)
+        return None
+
+    def cancel(self, place, attempt):
+        self.cancelled.append(attempt)
+
+
+class Delivered(forwarder.Delivery):
+    """Keeps what the caller received."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+
+    async def start(self, status, headers):
+        self.status = status
+
+    async def write(self, data):
+        self.body += data
+
+
+def build(senders, request=None):
+    """Returns a forwarder over the targets, its transport and an exchange."""
+    listed = inventory.Inventory(
+        version=1,
+        regions={"dc-1": "region-1"},
+        instances=[],
+        targets=[fakes.build_target(name=name) for name in senders]
+        + [
+            fakes.build_target(
+                name=name, kind=inventory.Kind.SERVICE, pool="desk"
+            )
+            for name in senders
+        ],
+        models=[],
+        adapters=[],
+        weight_store=inventory.WeightStore(region="region-1"),
+    )
+    is_service = request is not None and request.operation.service
+    kind = inventory.Kind.SERVICE if is_service else inventory.Kind.ENGINE
+    kept = [t for t in listed.targets if t.kind is kind]
+    targets = directory.TargetDirectory(
+        "dc-1",
+        dispatcher.Dispatcher(),
+        lambda target: [],
+        estimation.Speeds(),
+        prefixes.PrefixIndex(),
+    )
+    listed = inventory.Inventory(
+        1, listed.regions, [], kept, [], [], listed.weight_store
+    )
+    targets.update_inventory(listed, 1)
+    loads = [
+        messages.TargetLoad(name, 0, 0, ["draft"], [], True) for name in senders
+    ]
+    targets.report("entry-2", messages.Loads(1, True, loads), 0.0)
+    receivers = attempts.Receivers()
+    transport = ScriptedTransport(receivers, senders)
+    subject = forwarder.Forwarder(
+        "entry-1",
+        targets,
+        routing.create("least_outstanding", random.Random(1)),
+        transport,
+        receivers,
+        telemetry.Metrics(),
+        random.Random(1),
+    )
+    opened = exchange.Exchange(
+        request or builders.build_request(),
+        asyncio.get_running_loop().time(),
+    )
+    return subject, transport, opened
+
+
+def build_failure(outcome):
+    """Returns a retriable failure."""
+    return builders.build_failure(outcome)
+
+
+async def test_stream_is_delivered_whole():
+    """R3: the caller receives each event once and in order."""
+    subject, _, opened = build({"engine-1": fakes.FakeSender()})
+    delivered = Delivered()
+    result = await subject.run(opened, delivered)
+    assert isinstance(result, forwarder.Streamed)
+    assert delivered.body == fakes.STREAM
+    assert len(subject.receivers) == 0
+
+
+async def test_failed_attempt_is_rerun_at_another_target():
+    """R2: one dead engine must not fail an idempotent request."""
+    failed = build_failure(errors.Outcome.FAILED)
+    senders = {
+        "engine-1": fakes.FakeSender([failed] * 3),
+        "engine-2": fakes.FakeSender([failed] * 3),
+    }
+    subject, transport, opened = build(senders)
+    result = await subject.run(opened, Delivered())
+    assert isinstance(result, errors.Failure)
+    assert result.outcome is errors.Outcome.FAILED
+    assert len({place for place, _ in transport.sent[:2]}) == 2
+
+
+async def test_booking_with_an_unknown_outcome_is_not_sent_again():
+    """R5: a lost answer must not book twice."""
+    sender = fakes.FakeSender([build_failure(errors.Outcome.UNKNOWN)])
+    request = builders.build_booking()
+    subject, transport, opened = build({"desk-1": sender}, request)
+    result = await subject.run(opened, Delivered())
+    assert result.outcome is errors.Outcome.UNKNOWN
+    assert len(transport.sent) == 1
+
+
+async def test_booking_that_was_not_sent_is_tried_again():
+    """R4: an attempt that was proved not sent may be repeated."""
+    sender = fakes.FakeSender([fakes.FakeStream([b"{}"], 201, [])])
+    request = builders.build_booking()
+    subject, transport, opened = build({"desk-1": sender}, request)
+    transport.refuse = {"desk-1": 1}
+    result = await subject.run(opened, Delivered())
+    assert result.status == 201
+    assert len(transport.sent) == 2
+    assert len(sender.executions) == 1
+
+
+async def test_stream_goes_on_after_its_owner_was_lost():
+    """R3: a lost owner loses and doubles no token of a stream."""
+    half = fakes.FakeStream(
+        [*fakes.EVENTS[:5], build_failure(errors.Outcome.UNKNOWN)]
+    )
+    rest = fakes.FakeStream(fakes.EVENTS[5:])
+    unsent = build_failure(errors.Outcome.NOT_RUN)
+    sender = fakes.FakeSender([half], [unsent, unsent, unsent, rest])
+    subject, transport, opened = build({"engine-1": sender})
+    transport.refuse = {}
+    delivered = Delivered()
+    result = await subject.run(opened, delivered)
+    assert isinstance(result, forwarder.Streamed)
+    assert delivered.body == fakes.STREAM
+    first = transport.sent[0][1]
+    assert {attempt for attempt, _ in sender.resumed_after} == {first}
+    assert len(sender.executions) == 1
+
+
+async def test_whole_answer_is_held_until_it_is_complete():
+    """R3: a cut answer that is not streamed is rerun, not passed on."""
+    body = b'{"usage": {"completion_tokens": 3}}'
+    short = fakes.FakeStream(
+        [body[:5], build_failure(errors.Outcome.FAILED)], headers=[]
+    )
+    whole = fakes.FakeStream([body], headers=[])
+    request = builders.build_request(body=b'{"model": "draft"}')
+    subject, _, opened = build(
+        {"engine-1": fakes.FakeSender([short, whole])}, request
+    )
+    result = await subject.run(opened, Delivered())
+    assert result.body == body
+
+
+async def test_abandoned_request_is_cancelled_at_its_owner():
+    """A caller that left must not keep an engine busy."""
+    sender = fakes.FakeSender([fakes.FakeStream([3600.0])])
+    subject, transport, opened = build({"engine-1": sender})
+    task = asyncio.create_task(subject.run(opened, Delivered()))
+    await asyncio.sleep(1.0)
+    task.cancel()
+    await asyncio.wait((task,))
+    assert transport.cancelled == [transport.sent[0][1]]
+    assert len(subject.receivers) == 0
