--- /dev/null
+++ b/carobsail/delays.py
@@ -0,0 +1,79 @@
+"""Delay and bandwidth of links between data centres, for demo and tests."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+
+from carobsail import errors, links, messages
+
+MAX_WAITING = 4096
+
+
+class RegionLink:
+    """The link between two regions, shared by all traffic of one direction.
+
+    Attributes:
+      latency_s: One-way latency in seconds.
+      bytes_per_s: Bandwidth.
+      sent_bytes: Bytes carried.
+    """
+
+    __slots__ = ("_free_at", "bytes_per_s", "latency_s", "sent_bytes")
+
+    def __init__(self, latency_s: float, bytes_per_s: float) -> None:
+        self.latency_s = latency_s
+        self.bytes_per_s = bytes_per_s
+        self.sent_bytes = 0
+        self._free_at = 0.0
+
+    def arrival(self, size: int) -> float:
+        """Returns the loop time at which `size` bytes sent now arrive."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_s
+        self.sent_bytes += size
+        return self._free_at + self.latency_s
+
+
+class DelayedLink(links.Link):
+    """Delays the messages that this end of a link sends."""
+
+    __slots__ = ("_inner", "_path", "_waiting")
+
+    def __init__(self, inner: links.Link, path: RegionLink) -> None:
+        super().__init__(inner.peer)
+        self._inner = inner
+        self._path = path
+        self._waiting: collections.deque[messages.Message] = (
+            collections.deque()
+        )
+
+    async def send(self, message: messages.Message) -> None | errors.Failure:
+        """See base class."""
+        while len(self._waiting) >= MAX_WAITING and not self.closed:
+            await asyncio.sleep(self._path.latency_s)
+        return None if self.offer(message) else self._closed_failure()
+
+    def offer(self, message: messages.Message) -> bool:
+        """See base class."""
+        self.closed = self.closed or self._inner.closed
+        if self.closed or len(self._waiting) >= MAX_WAITING:
+            return False
+        self._waiting.append(message)
+        due = self._path.arrival(len(messages.encode(message)))
+        asyncio.get_running_loop().call_at(due, self._deliver)
+        return True
+
+    def _deliver(self) -> None:
+        # Takes the oldest message, so that none overtakes another.
+        self._inner.offer(self._waiting.popleft())
+
+    async def close(self) -> None:
+        """See base class."""
+        self.closed = True
+        await self._inner.close()
+
+    async def __aiter__(self) -> AsyncIterator[messages.Message]:
+        """See base class."""
+        async for message in self._inner:
+            yield message
+        self.closed = True
--- a/carobsail/deployments.py
+++ b/carobsail/deployments.py
@@ -89,7 +89,7 @@
         centres = itertools.cycle(self.data_centres)
         return [
             inventory.Target(
-                name=f"{pool}-{number}",
+                name=f"{pool}-engine-{number}",
                 kind=inventory.Kind.ENGINE,
                 data_centre=next(centres),
                 address=f"{host}:{ports()}",
@@ -130,7 +130,7 @@
             pool = pools[0] if in_first else pools[1]
             models.append(
                 inventory.Model(
-                    name=f"{pool}-model-{number + 1}",
+                    name=f"{pool}-{number + 1}",
                     pool=pool,
                     weights_mb=(14_000, 8_000, 20_000)[number % 3],
                 )
