--- a/carobsail/services.py
+++ b/carobsail/services.py
@@ -30,7 +30,11 @@
 
 
 class HttpAnswer(engines.AnswerStream):
-    """Answer of a target over HTTP."""
+    """Answer of a target over HTTP.
+
+    The failure of a cut answer has outcome UNKNOWN, whether or not the request
+    is idempotent; the caller knows what was delivered and decides.
+    """
 
     __slots__ = ("_answer", "headers", "status")
 
