Add the memory ledger and the model orders of an engine

Cause: nothing kept engine memory within capacity during a change (R1) or the last copy of a model resident (R2) when orders are lost or late. Change: a ledger that counts intents, reservations and unanswered orders, two fencing strategies, and orders that record the intent, check the grant and confirm. A fake engine loses, delays and doubles orders.

--- /dev/null
+++ b/carobsail/ledger.py
@@ -0,0 +1,323 @@
+"""Memory ledger of one engine.
+
+Models that are resident, reserved for an order, or possibly resident because
+an order was not answered all count. Their sum, the adapter pool and the cache
+floor never exceed the engine's capacity (R1).
+"""
+
+import abc
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+from carobsail import engines, errors, inventory
+
+# Longest time that an order may be under way before the engine starts it.
+ORDER_IN_FLIGHT_S = 30.0
+
+
+class Hold(enum.StrEnum):
+    """Why the memory of a model is held."""
+
+    RESERVED = "reserved"
+    RESIDENT = "resident"
+    UNLOADING = "unloading"
+    LATE = "late"
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """Memory held for one model.
+
+    Attributes:
+      mb: Memory in MB.
+      hold: Why it is held.
+      load_until: Time until which a load order may still arrive.
+      unload_until: Time until which an unload order may still arrive.
+      since: Time of the last change by this owner.
+      inherited: Whether it comes from a previous owner's intent.
+    """
+
+    mb: int
+    hold: Hold
+    load_until: float = float("-inf")
+    unload_until: float = float("-inf")
+    since: float = float("-inf")
+    inherited: bool = False
+
+
+class Fencing(abc.ABC):
+    """When a new owner may trust that old orders can no longer arrive."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def old_orders_over(
+        self, fence: int, epoch: int, made_at: float, granted_at: float
+    ) -> bool:
+        """Tells whether a report excludes orders of earlier owners.
+
+        Args:
+          fence: Fencing number in the report.
+          epoch: Epoch of the present owner.
+          made_at: Time at which the report was made, in seconds.
+          granted_at: Time of the owner's grant, in seconds.
+        """
+
+    @abc.abstractmethod
+    def unloads_from(self, granted_at: float) -> float:
+        """Returns the time from which the owner may unload models."""
+
+
+class CheckedFencing(Fencing):
+    """The engine rejects orders with a stale fencing number."""
+
+    __slots__ = ()
+
+    def old_orders_over(
+        self, fence: int, epoch: int, made_at: float, granted_at: float
+    ) -> bool:
+        """See base class."""
+        return fence >= epoch or made_at >= granted_at + ORDER_IN_FLIGHT_S
+
+    def unloads_from(self, granted_at: float) -> float:
+        """See base class."""
+        return granted_at
+
+
+class IgnoredFencing(Fencing):
+    """The engine executes each order that arrives."""
+
+    __slots__ = ()
+
+    def old_orders_over(
+        self, fence: int, epoch: int, made_at: float, granted_at: float
+    ) -> bool:
+        """See base class."""
+        return made_at >= granted_at + ORDER_IN_FLIGHT_S
+
+    def unloads_from(self, granted_at: float) -> float:
+        """See base class."""
+        return granted_at + ORDER_IN_FLIGHT_S
+
+
+def fencing_of(target: inventory.Target) -> Fencing:
+    """Returns the fencing strategy that suits an engine."""
+    return CheckedFencing() if target.checks_fencing else IgnoredFencing()
+
+
+class MemoryLedger:
+    """Memory of one engine as its owner accounts for it."""
+
+    __slots__ = (
+        "_entries",
+        "_fencing",
+        "_granted_at",
+        "_last_made_at",
+        "_reload_from",
+        "_removed_at",
+        "_target",
+        "epoch",
+    )
+
+    def __init__(self, target: inventory.Target) -> None:
+        self._target = target
+        self._fencing = fencing_of(target)
+        self._entries: dict[str, Entry] = {}
+        self._reload_from: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+        self._granted_at = float("-inf")
+        self._last_made_at = float("-inf")
+        self.epoch = 0
+
+    def adopt(
+        self, epoch: int, intents: Mapping[str, int], granted_at: float
+    ) -> None:
+        """Starts from the recorded intent of earlier owners.
+
+        Args:
+          epoch: Epoch of the new owner.
+          intents: Memory in MB of each model recorded in the intent.
+          granted_at: Time of the grant, in seconds.
+        """
+        self.epoch = epoch
+        self._granted_at = granted_at
+        self._last_made_at = granted_at
+        self._reload_from.clear()
+        self._removed_at.clear()
+        self._entries = {
+            model: Entry(mb, Hold.LATE, since=granted_at, inherited=True)
+            for model, mb in intents.items()
+        }
+
+    @property
+    def free_mb(self) -> int:
+        """Memory in MB that no model, pool or floor holds."""
+        held = sum(entry.mb for entry in self._entries.values())
+        fixed = self._target.adapter_pool_mb + self._target.cache_floor_mb
+        return self._target.capacity_mb - fixed - held
+
+    def intents(self) -> dict[str, int]:
+        """Returns the memory in MB of every model that may be resident."""
+        return {m: e.mb for m, e in sorted(self._entries.items())}
+
+    def hold_of(self, model: str) -> Hold | None:
+        """Returns why the memory of a model is held, or None."""
+        entry = self._entries.get(model)
+        return entry.hold if entry else None
+
+    def models(self, hold: Hold) -> list[str]:
+        """Returns the models held for one reason, sorted."""
+        return sorted(m for m, e in self._entries.items() if e.hold is hold)
+
+    def is_safe(self, model: str, now: float) -> bool:
+        """Tells whether a copy is resident and no unload can still arrive."""
+        return self.hold_of(
+            model
+        ) is Hold.RESIDENT and now >= self._fencing.unloads_from(
+            self._granted_at
+        )
+
+    def may_unload(self, model: str, now: float) -> bool:
+        """Tells whether an unload of a confirmed model may be ordered."""
+        return self.is_safe(model, now)
+
+    def reload_wait_s(self, model: str, now: float) -> float:
+        """Returns the seconds before a model may be loaded again.
+
+        A delayed copy of its unload order would remove the new load.
+        """
+        return max(0.0, self._reload_from.get(model, now) - now)
+
+    def reserve(self, model: str, mb: int, now: float) -> None | errors.Failure:
+        """Reserves memory before a load order."""
+        if model in self._entries:
+            hold = self._entries[model].hold
+            return self._failure(errors.Reason.CONFLICT, f"{model} is {hold}")
+        wait_s = self.reload_wait_s(model, now)
+        if wait_s > 0:
+            return self._failure(
+                errors.Reason.NOT_READY,
+                f"an unload of {model} may still arrive",
+                wait_s,
+            )
+        self._reload_from.pop(model, None)
+        if mb > self.free_mb:
+            detail = f"{model} needs {mb} MB, {self.free_mb} MB are free"
+            return self._failure(errors.Reason.NO_MEMORY, detail)
+        self._entries[model] = Entry(mb, Hold.RESERVED, since=now)
+        return None
+
+    def load_sent(self, model: str, now: float) -> None:
+        """Notes that the load order of a reserved model is being sent."""
+        entry = self._entries[model]
+        entry.load_until = now + ORDER_IN_FLIGHT_S
+        entry.since = now
+
+    def release(self, model: str) -> None:
+        """Releases a reservation whose order was certainly not executed."""
+        entry = self._entries.get(model)
+        if entry is not None and entry.hold is Hold.RESERVED:
+            del self._entries[model]
+
+    def confirm_load(self, model: str, now: float) -> None:
+        """Notes the engine's answer that a model is resident."""
+        entry = self._entries.get(model)
+        if entry is not None and entry.hold is Hold.RESERVED:
+            entry.hold = Hold.RESIDENT
+            entry.since = now
+
+    def unanswered(self, model: str, now: float) -> None:
+        """Notes that an order has no answer and may still take effect."""
+        entry = self._entries.get(model)
+        if entry is not None:
+            entry.hold = Hold.LATE
+            entry.since = now
+
+    def unload_sent(self, model: str, now: float) -> None:
+        """Notes that the unload order of a resident model is being sent."""
+        entry = self._entries[model]
+        entry.hold = Hold.UNLOADING
+        entry.unload_until = now + ORDER_IN_FLIGHT_S
+        entry.since = now
+
+    def unload_refused(self, model: str) -> None:
+        """Notes that an unload order was certainly not executed."""
+        entry = self._entries.get(model)
+        if entry is not None and entry.hold is Hold.UNLOADING:
+            entry.hold = Hold.RESIDENT
+            entry.unload_until = float("-inf")
+
+    def confirm_unload(self, model: str, now: float) -> None:
+        """Notes the engine's answer that the memory of a model is free.
+
+        The memory stays held while a delayed copy of the load order may
+        arrive.
+        """
+        entry = self._entries.get(model)
+        if entry is None or entry.hold is not Hold.UNLOADING:
+            return
+        if now >= entry.load_until:
+            self._remove(model, now)
+        else:
+            entry.hold = Hold.LATE
+            entry.since = now
+
+    def observe(self, report: engines.EngineReport, asked_at: float) -> None:
+        """Settles entries by a report.
+
+        Args:
+          report: The engine's report.
+          asked_at: Time at which the report was requested, in seconds; the
+            report was made no earlier than its age before that time.
+        """
+        made_at = asked_at - report.age_s
+        if made_at < self._last_made_at:
+            return
+        self._last_made_at = made_at
+        old_over = self._fencing.old_orders_over(
+            report.fence, self.epoch, made_at, self._granted_at
+        )
+        listed = {**report.loading, **report.models}
+        for model, entry in list(self._entries.items()):
+            if entry.hold in (Hold.RESERVED, Hold.UNLOADING):
+                continue  # The order's answer or its timeout settles these.
+            if made_at < entry.since:
+                continue
+            if model in listed:
+                entry.mb = max(entry.mb, listed[model])
+            if entry.inherited and not old_over:
+                continue
+            if model in report.models:
+                if made_at >= entry.unload_until:
+                    entry.hold = Hold.RESIDENT
+            elif model in report.loading or made_at < entry.load_until:
+                if entry.hold is Hold.RESIDENT:
+                    entry.hold = Hold.LATE
+            else:
+                self._remove(model, made_at)
+        for model, mb in listed.items():
+            removed_at = self._removed_at.get(model, self._granted_at)
+            if model not in self._entries and made_at > removed_at:
+                # Not in the intent: the engine was changed by another party.
+                self._entries[model] = Entry(mb, Hold.LATE, since=made_at)
+
+    def _remove(self, model: str, at: float) -> None:
+        entry = self._entries.pop(model)
+        self._removed_at[model] = at
+        if entry.unload_until > self._last_made_at:
+            self._reload_from[model] = entry.unload_until
+
+    def _failure(
+        self,
+        reason: errors.Reason,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> errors.Failure:
+        return errors.Failure(
+            reason,
+            errors.Step.ORDER,
+            self._target.name,
+            detail=detail,
+            retry_after_s=retry_after_s,
+        )
--- /dev/null
+++ b/carobsail/orders.py
@@ -0,0 +1,389 @@
+"""Executes the wanted state of one engine: intent first, order, confirm.
+
+At most one order is under way at an engine. Each order is preceded by a
+durable intent and by a check of the owner's grant, and carries the epoch as
+its fencing number.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from carobsail import engines, errors, inventory, keyvalue, ledger, messages
+
+ANSWER_TIMEOUT_S = 120.0  # Longest load of a model at the store's full speed.
+REPORT_TIMEOUT_S = 5.0
+FIRST_BACKOFF_S = 0.5
+LAST_BACKOFF_S = 15.0
+ROUND_INTERVAL_S = 1.0
+DEFAULT_VERSION = "1"
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """Recorded intent: the models that may be resident, with their MB."""
+
+    epoch: int
+    models: dict[str, int]
+
+
+def intent_key(data_centre: str, target: str) -> str:
+    """Returns the key of an engine's intent."""
+    return f"/carobsail/dc/{data_centre}/intents/{target}"
+
+
+def split_version(model: str) -> tuple[str, str]:
+    """Splits `name@version`; a plain name has the default version."""
+    name, _, version = model.partition("@")
+    return name, version or DEFAULT_VERSION
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Guards:
+    """Questions that are asked before an order.
+
+    Attributes:
+      may_order: Whether the grant is valid now.
+      may_unload: Whether another copy of a model, which the present plan
+        keeps, is confirmed and routed to, or no client account uses the model.
+      drained: Whether no request of a model is in flight at this engine.
+      permit: Takes a permit of the weight store for a model load; returns the
+        function that gives it back, or None when none is free.
+      size_mb: Memory of a model in MB, or None when it is unknown.
+    """
+
+    may_order: Callable[[], bool]
+    may_unload: Callable[[str], bool]
+    drained: Callable[[str], bool]
+    permit: Callable[[str], Callable[[], None] | None]
+    size_mb: Callable[[str], int | None]
+
+
+class EngineOrders:
+    """Brings one engine to its wanted state.
+
+    Attributes:
+      ledger: Memory ledger of the engine.
+      leaving: Models to which no new request may be sent, because they are
+        being drained or unloaded.
+      stopped: The failure that ended this ownership, if any.
+    """
+
+    __slots__ = (
+        "_adopted",
+        "_attempts",
+        "_busy",
+        "_engine",
+        "_guards",
+        "_intent",
+        "_key",
+        "_permits",
+        "_random",
+        "_revision",
+        "_store",
+        "_target",
+        "_wanted",
+        "leaving",
+        "ledger",
+        "stopped",
+    )
+
+    def __init__(
+        self,
+        target: inventory.Target,
+        engine: engines.EngineClient,
+        store: keyvalue.KeyValueClient,
+        guards: Guards,
+        generator: random.Random,
+    ) -> None:
+        self._target = target
+        self._engine = engine
+        self._store = store
+        self._guards = guards
+        self._random = generator
+        self._key = intent_key(target.data_centre, target.name)
+        self._busy = asyncio.Lock()
+        self._intent = Intent(0, {})
+        self._revision = 0
+        self._wanted: tuple[str, ...] | None = None
+        self._permits: dict[str, Callable[[], None]] = {}
+        self._attempts = 0
+        self._adopted = False
+        self.ledger = ledger.MemoryLedger(target)
+        self.leaving: set[str] = set()
+        self.stopped: errors.Failure | None = None
+
+    def want(self, plan: messages.TargetPlan) -> None:
+        """Sets the wanted state."""
+        self._wanted = tuple(plan.models)
+
+    async def adopt(
+        self, epoch: int, granted_at: float
+    ) -> None | errors.Failure:
+        """Takes over the engine: reads the intent and rewrites its epoch.
+
+        After the rewrite, an earlier owner's compare-and-swap fails, so it
+        cannot record further models. No order is sent before it succeeded; the
+        caller repeats it after a failure.
+
+        Args:
+          epoch: Epoch of the grant.
+          granted_at: Time from which the grant counts, in seconds.
+        """
+        found = await self._read()
+        if isinstance(found, errors.Failure):
+            return found
+        if found.epoch > epoch:
+            return self._stop(f"intent has epoch {found.epoch} above {epoch}")
+        self.ledger.adopt(epoch, found.models, granted_at)
+        written = await self._write_intent()
+        self._adopted = written is None
+        return written
+
+    async def refresh(self) -> None | errors.Failure:
+        """Reads the engine's report and settles the ledger by it."""
+        asked_at = _now()
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                report = await self._engine.report()
+        except TimeoutError:
+            return self._failure(errors.Reason.TIMEOUT, "no report")
+        if isinstance(report, errors.Failure):
+            return report
+        self.observe(report, asked_at)
+        return None
+
+    def observe(self, report: engines.EngineReport, asked_at: float) -> None:
+        """Settles the ledger by a report requested at `asked_at`."""
+        self.ledger.observe(report, asked_at)
+        for model in list(self._permits):
+            if self.ledger.hold_of(model) is not ledger.Hold.LATE:
+                self._permits.pop(model)()
+
+    async def run(self) -> errors.Failure:
+        """Works until this ownership ends; returns the reason."""
+        while True:
+            await self.refresh()
+            result = await self.step()
+            if self.stopped is not None:
+                return self.stopped
+            if isinstance(result, errors.Failure):
+                await asyncio.sleep(self._backoff_s())
+            elif not result:
+                self._attempts = 0
+                await asyncio.sleep(ROUND_INTERVAL_S)
+            else:
+                self._attempts = 0
+
+    async def step(self) -> bool | errors.Failure:
+        """Sends at most one order towards the wanted state.
+
+        Returns:
+          True after a confirmed order, False when there is nothing to do or
+          something must be waited for, or the failure of the order.
+        """
+        if self.stopped is not None:
+            return self.stopped
+        if self._busy.locked():
+            return False
+        async with self._busy:
+            if not self._adopted or self._wanted is None:
+                return False
+            if not self._guards.may_order():
+                return False
+            load = self._next_load()
+            unload = self._next_unload(load)
+            if load is not None and unload is None:
+                return await self._load(load)
+            if unload is not None:
+                return await self._unload(unload)
+            if self._intent.models != self.ledger.intents():
+                written = await self._write_intent()
+                if written is not None:
+                    return written
+            return False
+
+    def _next_load(self) -> str | None:
+        """Returns the first missing model that fits, or else the first."""
+        now = _now()
+        missing = [
+            (model, size_mb)
+            for model in self._wanted or ()
+            if self.ledger.hold_of(model) is None
+            and self.ledger.reload_wait_s(model, now) == 0.0
+            and (size_mb := self._guards.size_mb(model)) is not None
+        ]
+        fits = (m for m, size in missing if size <= self.ledger.free_mb)
+        return next(fits, missing[0][0] if missing else None)
+
+    def _next_unload(self, load: str | None) -> str | None:
+        """Returns a model to unload now, and updates the leaving models.
+
+        Loads that fit come before unloads (make before break).
+        """
+        size_mb = self._guards.size_mb(load) if load is not None else None
+        if size_mb is not None and size_mb <= self.ledger.free_mb:
+            self.leaving.clear()
+            return None
+        now = _now()
+        self.leaving = {
+            model
+            for model in self.ledger.models(ledger.Hold.RESIDENT)
+            if model not in (self._wanted or ())
+            and self.ledger.may_unload(model, now)
+            and self._guards.may_unload(model)
+        }
+        ready = (m for m in sorted(self.leaving) if self._guards.drained(m))
+        return next(ready, None)
+
+    async def _load(self, model: str) -> bool | errors.Failure:
+        size_mb = self._guards.size_mb(model)
+        if size_mb is None:
+            detail = f"{model} is not in the inventory"
+            return self._failure(errors.Reason.UNKNOWN_MODEL, detail)
+        if size_mb > self.ledger.free_mb:
+            return False
+        give_back = self._guards.permit(model)
+        if give_back is None:
+            return False
+        self._permits[model] = give_back
+        try:
+            reserved = self.ledger.reserve(model, size_mb, _now())
+            if reserved is not None:
+                return reserved
+            written = await self._write_intent()
+            if written is not None:
+                return written
+            if not self._guards.may_order():
+                return False
+            self.ledger.load_sent(model, _now())
+            name, version = split_version(model)
+            result = await self._order(
+                model, self._engine.load_model(name, version, self.ledger.epoch)
+            )
+            if result is not None:
+                return result
+            self.ledger.confirm_load(model, _now())
+            return True
+        finally:
+            self._settle(model)
+
+    async def _unload(self, model: str) -> bool | errors.Failure:
+        written = await self._write_intent()
+        if written is not None:
+            return written
+        # The write took time: each condition is asked again.
+        if not (
+            self._guards.may_order()
+            and self._guards.may_unload(model)
+            and self._guards.drained(model)
+            and self.ledger.may_unload(model, _now())
+        ):
+            return False
+        self.ledger.unload_sent(model, _now())
+        result = await self._order(
+            model, self._engine.unload_model(model, self.ledger.epoch)
+        )
+        if result is not None:
+            if result.outcome is errors.Outcome.NOT_RUN:
+                self.ledger.unload_refused(model)
+            return result
+        self.ledger.confirm_unload(model, _now())
+        self.leaving.discard(model)
+        return True
+
+    async def _order(self, model, call) -> None | errors.Failure:
+        """Awaits an order's answer; without one the model counts as late."""
+        answered = False
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                result = await call
+            answered = result is None or (
+                result.outcome is errors.Outcome.NOT_RUN
+            )
+        except TimeoutError:
+            result = self._failure(
+                errors.Reason.TIMEOUT,
+                f"no answer to the order for {model}",
+                errors.Outcome.UNKNOWN,
+            )
+        finally:
+            if not answered:
+                self.ledger.unanswered(model, _now())
+        if result is not None and result.reason is errors.Reason.FENCED:
+            self.stopped = result
+        return result
+
+    def _settle(self, model: str) -> None:
+        """Releases an unsent reservation, and the permit unless late."""
+        self.ledger.release(model)
+        if self.ledger.hold_of(model) is not ledger.Hold.LATE:
+            give_back = self._permits.pop(model, None)
+            if give_back is not None:
+                give_back()
+
+    async def _read(self) -> Intent | errors.Failure:
+        found = await self._store.range(self._key)
+        if isinstance(found, errors.Failure):
+            return found
+        for value in found.values:
+            if value.key == self._key:
+                self._revision = value.mod_revision
+                return msgspec.json.decode(value.value, type=Intent)
+        self._revision = 0
+        return Intent(0, {})
+
+    async def _write_intent(self) -> None | errors.Failure:
+        """Records the ledger's models; reads back after a lost answer.
+
+        Only the owner of an epoch writes that epoch, so a stored value equal
+        to the intent is this owner's own write.
+        """
+        intent = Intent(self.ledger.epoch, self.ledger.intents())
+        value = msgspec.json.encode(intent)
+        result = await self._store.transact(
+            [keyvalue.Compare(self._key, self._revision)],
+            [keyvalue.Put(self._key, value)],
+        )
+        if isinstance(result, keyvalue.TransactionResult):
+            if result.succeeded:
+                self._revision = result.revision
+                self._intent = intent
+                return None
+        elif result.outcome is errors.Outcome.NOT_RUN:
+            return result
+        found = await self._read()
+        if isinstance(found, errors.Failure):
+            return found
+        if found.epoch > intent.epoch:
+            return self._stop(f"intent was taken over by epoch {found.epoch}")
+        if found == intent:
+            self._intent = intent
+            return None
+        return self._failure(errors.Reason.CONFLICT, "intent not written")
+
+    def _stop(self, detail: str) -> errors.Failure:
+        self.stopped = self._failure(errors.Reason.FENCED, detail)
+        return self.stopped
+
+    def _backoff_s(self) -> float:
+        """Returns the next retry's delay in seconds, with full jitter."""
+        self._attempts += 1
+        bound_s = min(LAST_BACKOFF_S, FIRST_BACKOFF_S * 2**self._attempts)
+        return self._random.uniform(FIRST_BACKOFF_S, bound_s)
+
+    def _failure(
+        self,
+        reason: errors.Reason,
+        detail: str,
+        outcome: errors.Outcome = errors.Outcome.NOT_RUN,
+    ) -> errors.Failure:
+        return errors.Failure(
+            reason, errors.Step.ORDER, self._target.name, outcome, detail
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,105 @@
+"""Guards the memory ledger against counting too little (R1)."""
+
+import pytest
+from builders_placement import report, target
+
+from carobsail import errors, ledger
+
+
+def loaded(checks=True):
+    """Returns a ledger of epoch 2 with m1 loaded at 100 s."""
+    book = ledger.MemoryLedger(target(checks_fencing=checks))
+    book.adopt(2, {}, 0.0)
+    book.reserve("m1", 600, 100.0)
+    book.load_sent("m1", 100.0)
+    book.confirm_load("m1", 102.0)
+    return book
+
+
+def test_reservation_beyond_capacity_is_refused():
+    """A load that does not fit beside pool and floor overcommits (R1)."""
+    book = loaded()
+    refused = book.reserve("m2", 401, 103.0)
+    assert refused.reason is errors.Reason.NO_MEMORY
+    assert book.reserve("m2", 400, 103.0) is None
+    assert book.free_mb == 0
+
+
+def test_doubled_load_keeps_memory_after_unload():
+    """A delayed copy of the load order would fill reused memory (R1)."""
+    book = loaded()
+    book.unload_sent("m1", 110.0)
+    book.confirm_unload("m1", 111.0)
+    book.observe(report(fence=2), 129.0)
+    assert book.free_mb == 400
+    book.observe(report(fence=2), 130.0)
+    assert book.free_mb == 1000
+
+
+def test_doubled_unload_delays_the_next_load():
+    """A delayed copy of the unload order would remove the new copy (R2)."""
+    book = loaded()
+    book.unload_sent("m1", 140.0)
+    book.confirm_unload("m1", 141.0)
+    refused = book.reserve("m1", 600, 142.0)
+    assert refused.reason is errors.Reason.NOT_READY
+    assert refused.retry_after_s == 28.0
+    assert book.reserve("m1", 600, 170.0) is None
+
+
+def test_lost_unload_is_settled_by_a_safe_report():
+    """A copy that a late unload may still remove is no safe copy (R2)."""
+    book = loaded()
+    book.unload_sent("m1", 140.0)
+    book.unanswered("m1", 145.0)
+    book.observe(report(fence=2, models={"m1": 600}), 169.0)
+    assert not book.is_safe("m1", 169.0)
+    book.observe(report(fence=2, models={"m1": 600}, age_s=1.0), 170.0)
+    assert not book.is_safe("m1", 170.0)
+    book.observe(report(fence=2, models={"m1": 600}), 171.0)
+    assert book.is_safe("m1", 171.0)
+
+
+def test_lost_load_is_settled_by_a_safe_report():
+    """A load order that arrives after a report would overcommit (R1)."""
+    book = loaded()
+    book.reserve("m2", 400, 200.0)
+    book.load_sent("m2", 200.0)
+    book.unanswered("m2", 205.0)
+    book.observe(report(models={"m1": 600}), 229.0)
+    assert book.free_mb == 0
+    book.observe(report(models={"m1": 600}), 230.0)
+    assert book.free_mb == 400
+
+
+@pytest.mark.parametrize(
+    ("checks", "fence", "settled_at"),
+    [(True, 2, 1.0), (True, 1, 30.0), (False, 2, 30.0)],
+)
+def test_new_owner_counts_intents_until_settled(checks, fence, settled_at):
+    """An old owner's order may still arrive at the engine (R1)."""
+    book = ledger.MemoryLedger(target(checks_fencing=checks))
+    book.adopt(2, {"m1": 600}, 0.0)
+    book.observe(report(fence=fence), settled_at - 0.5)
+    assert book.free_mb == (1000 if settled_at < 2 else 400)
+    book.observe(report(fence=fence), settled_at)
+    assert book.free_mb == 1000
+
+
+def test_engine_that_ignores_fencing_is_waited_out():
+    """An old unload may remove a copy that the report still lists (R2)."""
+    book = loaded(checks=False)
+    book.adopt(3, {"m1": 600}, 200.0)
+    book.observe(report(models={"m1": 600}), 229.0)
+    assert not book.may_unload("m1", 229.0)
+    book.observe(report(models={"m1": 600}), 230.0)
+    assert book.may_unload("m1", 230.0)
+
+
+def test_reports_out_of_order_change_nothing():
+    """An old report would free the memory of a model loaded since (R1)."""
+    book = loaded()
+    book.observe(report(fence=2), 101.0)
+    book.observe(report(fence=2, models={"m1": 600}), 140.0)
+    book.observe(report(fence=2), 139.0)
+    assert book.free_mb == 400
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,234 @@
+"""Guards model orders against lost, late, doubled and reordered delivery."""
+
+import asyncio
+import random
+
+import async_solipsism
+from builders_placement import target
+from fake_engine import FakeEngine
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from carobsail import errors, keyvalue, messages, orders
+
+SIZES = {"m1": 500, "m2": 400, "m3": 300, "m4": 600}
+USED = {"m1", "m2"}  # Models that client accounts use.
+WANTED = [["m1"], ["m1", "m2"], ["m2", "m4"], ["m3", "m4"], ["m1", "m3"], []]
+INDEX = st.integers(0, 1)
+SECONDS = st.sampled_from([0.1, 1.5, 4.0, 10.0, 40.0])
+FATES = st.sampled_from(["", "lost", "late", "doubled", "unanswered"])
+
+
+class Ownership:
+    """The orders of one owner of one engine with a grant."""
+
+    def __init__(self, cluster, engine, epoch):
+        self.cluster, self.engine, self.epoch = cluster, engine, epoch
+        self.granted = True
+        guards = orders.Guards(
+            may_order=lambda: self.granted,
+            may_unload=self.may_unload,
+            drained=lambda model: True,
+            permit=lambda model: lambda: None,
+            size_mb=SIZES.get,
+        )
+        self.orders = orders.EngineOrders(
+            engine.target, engine, cluster.store, guards, random.Random(1)
+        )
+        self.wanted = []
+
+    def may_unload(self, model):
+        now = asyncio.get_running_loop().time()
+        return model not in USED or any(
+            o is not self
+            and model in o.wanted
+            and o.orders.ledger.is_safe(model, now)
+            for o in self.cluster.owners
+        )
+
+    def want(self, models):
+        self.wanted = models
+        plan = messages.TargetPlan(self.engine.target.name, models, "mixed")
+        self.orders.want(plan)
+
+    async def work(self):
+        granted_at = asyncio.get_running_loop().time()
+        for _ in range(1000):
+            if await self.orders.adopt(self.epoch, granted_at) is None:
+                await self.orders.run()
+                return
+            await asyncio.sleep(1.0)
+
+
+class Cluster:
+    """Two engines, one that checks fencing numbers and one that does not."""
+
+    def __init__(self):
+        self.store = keyvalue.MemoryKeyValue()
+        self.engines, self.tasks = [], []
+        for name, checks in (("e1", True), ("e2", False)):
+            FakeEngine(
+                target(name, checks_fencing=checks), SIZES, USED, self.engines
+            )
+        self.owners = [Ownership(self, e, 1) for e in self.engines]
+
+    def start(self, owner):
+        self.tasks.append(asyncio.ensure_future(owner.work()))
+
+    def replace(self, index):
+        """Gives an engine to a new owner once the old grant is over."""
+        old = self.owners[index]
+        old.granted = False
+        new = Ownership(self, old.engine, old.epoch + 1)
+        self.owners[index] = new
+        new.want(old.wanted)
+        self.start(new)
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """R1, R2: orders with any fate keep memory and last copies right."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = async_solipsism.EventLoop()
+        self.cluster = self.run(self.build())
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def build(self):
+        cluster = Cluster()
+        for owner in cluster.owners:
+            owner.want(["m1"])
+            cluster.start(owner)
+        return cluster
+
+    @rule(index=INDEX, models=st.sampled_from(WANTED), seconds=SECONDS)
+    def want(self, index, models, seconds):
+        self.cluster.owners[index].want(models)
+        self.run(asyncio.sleep(seconds))
+
+    @rule(
+        index=INDEX,
+        fates=st.lists(
+            st.tuples(FATES, st.sampled_from([1.0, 6.0, 15.0, 29.0])),
+            min_size=1,
+            max_size=4,
+        ),
+        models=st.sampled_from(WANTED),
+        seconds=SECONDS,
+    )
+    def set_fates(self, index, fates, models, seconds):
+        self.cluster.engines[index].fates = fates
+        self.want(index, models, seconds)
+
+    @rule(index=INDEX, seconds=SECONDS, models=st.sampled_from(WANTED))
+    def replace_owner(self, index, seconds, models):
+        async def replace():
+            self.cluster.replace(index)
+
+        self.run(replace())
+        self.want(index, models, seconds)
+
+    @rule(answers=st.integers(1, 3), seconds=SECONDS)
+    def lose_answers(self, answers, seconds):
+        self.cluster.store.lose_answers = answers
+        self.run(asyncio.sleep(seconds))
+
+    @rule(seconds=SECONDS)
+    def break_store(self, seconds):
+        self.cluster.store.available = False
+        self.run(asyncio.sleep(seconds))
+        self.cluster.store.available = True
+
+    @invariant()
+    def engines_are_right(self):
+        for engine in self.cluster.engines:
+            assert not engine.violations
+        for task in self.cluster.tasks:
+            assert not task.done() or task.exception() is None
+        for owner in self.cluster.owners:
+            assert owner.orders.ledger.free_mb >= 0
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+
+OrdersMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=30, derandomize=True, deadline=None
+)
+TestOrders = OrdersMachine.TestCase
+
+
+def run(coroutine):
+    """Runs a coroutine on a loop with virtual time."""
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+def test_wanted_state_is_reached():
+    """A ledger that holds back too much would never move a model (R2)."""
+
+    async def scenario():
+        cluster = Cluster()
+        cluster.store.lose_answers = 2
+        cluster.engines[0].fates = [("lost", 0.0), ("unanswered", 0.0)]
+        for owner, models in zip(cluster.owners, ("m1", "m1"), strict=True):
+            owner.want([models])
+            cluster.start(owner)
+        await asyncio.sleep(120.0)
+        cluster.owners[0].want(["m4", "m3"])
+        await asyncio.sleep(120.0)
+        assert set(cluster.engines[0].models) == {"m3", "m4"}
+        assert set(cluster.engines[1].models) == {"m1"}
+        stored = await cluster.store.range(orders.intent_key("a", "e1"))
+        assert b"m1" not in stored.values[0].value
+
+    run(scenario())
+
+
+def test_fenced_answer_stops_the_owner():
+    """An owner that orders on after a fenced answer breaks R1."""
+
+    async def scenario():
+        cluster = Cluster()
+        owner = cluster.owners[0]
+        cluster.engines[0].fence = 9
+        owner.want(["m1"])
+        await owner.orders.adopt(1, 0.0)
+        reason = await owner.orders.run()
+        assert reason.reason is errors.Reason.FENCED
+        assert await owner.orders.step() is reason
+
+    run(scenario())
+
+
+def test_intent_is_recorded_before_the_order():
+    """A new owner must know of every order that may be under way (R1)."""
+
+    async def scenario():
+        cluster = Cluster()
+        owner = cluster.owners[0]
+        owner.want(["m1"])
+        await owner.orders.adopt(1, 0.0)
+        cluster.store.available = False
+        assert isinstance(await owner.orders.step(), errors.Failure)
+        assert cluster.engines[0].sent_fence == 0
+        cluster.store.available = True
+        cluster.engines[0].fates = [("late", 20.0)]
+        await owner.orders.step()
+        cluster.replace(0)
+        await asyncio.sleep(1.0)
+        assert cluster.owners[0].orders.ledger.intents() == {"m1": 500}
+
+    run(scenario())
