--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -103,40 +103,30 @@
         """Yields body bytes, one chunk for each read from the socket.
 
         A body that ended early, or whose end cannot be told from a cut
-        (neither a length nor chunked), ends with an ANSWER_CUT failure.
+        (neither a length nor chunked), ends with an ANSWER_CUT failure. An
+        iteration that is given up closes the connection.
         """
-        detail = ""
-        while (connection := self._connection) is not None:
-            parts: list[bytes] = []
-            end: object = None
-            try:
-                event = connection.machine.next_event()
-                while isinstance(event, h11.Data):
-                    parts.append(event.data)
-                    event = connection.machine.next_event()
-                end = event
-            except h11.RemoteProtocolError as error:
-                detail = str(error)
-            if parts:
-                yield bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
-            if detail:
-                break
-            if isinstance(end, h11.EndOfMessage):
-                if not self._delimited():
+        detail = "the answer was given up"
+        try:
+            while (connection := self._connection) is not None:
+                data, end = _take_body(connection.machine)
+                if data:
+                    yield data
+                if isinstance(end, h11.EndOfMessage):
+                    if self._delimited():
+                        self._connection = None
+                        self._pool.give_back(connection)
+                        return
                     detail = "the answer has no length"
                     break
-                self._release(connection)
-                return
-            try:
+                if isinstance(end, h11.RemoteProtocolError):
+                    detail = str(end)
+                    break
                 await connection.receive()
-            except OSError as error:
-                detail = str(error)
-                break
-            except BaseException:
-                await self.close()
-                raise
-        detail = detail or "the answer was given up"
-        await self.close()
+        except OSError as error:
+            detail = str(error)
+        finally:
+            await self.close()
         yield self._pool.failure(errors.Reason.ANSWER_CUT, detail)
 
     def _delimited(self) -> bool:
@@ -147,10 +137,6 @@
             for name, _ in self.headers
         )
 
-    def _release(self, connection: _Connection) -> None:
-        self._connection = None
-        self._pool.give_back(connection)
-
     async def read(self, limit: int) -> bytes | errors.Failure:
         """Returns the whole body; a longer one than `limit` is a failure."""
         parts: list[bytes] = []
@@ -175,11 +161,25 @@
             self._pool.discard(connection)
 
 
+def _take_body(machine: h11.Connection) -> tuple[bytes, object]:
+    """Returns the body bytes received so far, and the event after them."""
+    parts: list[bytes] = []
+    end: object
+    try:
+        while isinstance(end := machine.next_event(), h11.Data):
+            parts.append(end.data)
+    except h11.RemoteProtocolError as error:
+        end = error
+    # h11 gives bytearrays; `bytes` and `join` each copy once.
+    return bytes(parts[0]) if len(parts) == 1 else b"".join(parts), end
+
+
 class Pool:
     """Connections to one `host:port`.
 
     Attributes:
       address: `host:port` of the server.
+      name: Name of the server in failures.
       connects: Number of connections opened.
     """
 
@@ -192,10 +192,15 @@
         "_timeout_s",
         "address",
         "connects",
+        "name",
     )
 
     def __init__(
-        self, address: str, limit: int, connect_timeout_s: float
+        self,
+        address: str,
+        limit: int,
+        connect_timeout_s: float,
+        name: str = "",
     ) -> None:
         """Creates a pool without connections.
 
@@ -203,8 +208,10 @@
           address: `host:port` of the server.
           limit: Requests under way at once; further ones wait.
           connect_timeout_s: Bound on that wait and on each connect.
+          name: Name of the server in failures; its address if empty.
         """
         self.address = address
+        self.name = name or address
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
@@ -221,8 +228,8 @@
         outcome: errors.Outcome = errors.Outcome.UNKNOWN,
         step: errors.Step = errors.Step.ANSWER,
     ) -> errors.Failure:
-        """Returns a failure that names the pool's address."""
-        return errors.Failure(reason, step, self.address, outcome, detail)
+        """Returns a failure that names the pool's server."""
+        return errors.Failure(reason, step, self.name, outcome, detail)
 
     async def request(
         self,
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -56,6 +56,8 @@
       priority: Engine priority; lower is more urgent.
       idempotent: Whether the request may be sent again.
       fingerprint: Hash of body, model and adapter.
+      resume_of: Attempt whose stream is continued, empty for a new request.
+      resume_after: Identifier of the last event that was delivered.
     """
 
     attempt: str
@@ -73,6 +75,13 @@
     priority: int
     idempotent: bool
     fingerprint: str
+    resume_of: str = ""
+    resume_after: str = ""
+
+
+def with_target(request: Dispatch, target: str) -> Dispatch:
+    """Returns the request with another target."""
+    return msgspec.structs.replace(request, target=target)
 
 
 class Head(Message, tag="head", frozen=True):
