Name the key before a JSON error instead of a wrong line

json-with-comments removes the line breaks of comments before parsing, so the line number in a settings error was too low in commented files (line 2 for an error on line 3). The error now names the last key before it, without quoting text that may hold a secret.

--- a/carobsail/settings.py
+++ b/carobsail/settings.py
@@ -12,6 +12,7 @@
 T = TypeVar("T")
 
 _LOCATION = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>.*)`)?$", re.S)
+_KEY = re.compile(r'"([^"\\]*)"\s*:')
 _FIELD = re.compile(r"field `(?P<field>[^`]*)`")
 
 
@@ -63,15 +64,25 @@
             parse_constant=_refuse_constant,
         )
     except json.JSONDecodeError as error:
-        raise ValueError(
-            f"line {error.lineno}: {error.msg[:1].lower()}{error.msg[1:]}"
-        ) from error
+        raise ValueError(_malformed(error)) from error
     except UnicodeDecodeError as error:
         raise ValueError(f"byte {error.start}: not UTF-8") from error
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
 
 
+def _malformed(error: json.JSONDecodeError) -> str:
+    """Names the last key before the error.
+
+    The library removes the line breaks of comments, so its line numbers are
+    wrong; the text itself may hold a secret.
+    """
+    problem = error.msg[:1].lower() + error.msg[1:]
+    keys = _KEY.findall(error.doc[: error.pos])
+    place = f'after key "{keys[-1]}"' if keys else "before the first key"
+    return f"malformed JSON {place}: {problem}"
+
+
 def convert(name: str, plain: Any, type: type[T]) -> T:
     """Checks plain values against a type.
 
