--- /dev/null
+++ b/carobsail/ctl.py
@@ -0,0 +1,261 @@
+"""`carobsailctl`: operators' commands, thin over `operations`."""
+
+import asyncio
+import getpass
+import sys
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import fire
+import msgspec
+from fire import core
+
+from carobsail import (
+    acceptance,
+    configuration,
+    errors,
+    inventory,
+    keyvalue,
+    operations,
+    settings,
+)
+from carobsail.operations import Result, Status
+
+SETTINGS_FILE = "carobsailctl.json"
+# fire uses 2 for wrong usage, which here means a conflict (sysexits.h).
+USAGE_EXIT = 64
+_DUMP_BYTES = 16_000_000
+_CONNECT_TIMEOUT_S = 5.0
+
+
+class CtlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of `carobsailctl`.
+
+    Attributes:
+      key_value: IP address and port of the key-value service.
+      inventory: File of the platform's inventory; empty for none.
+    """
+
+    key_value: str
+    inventory: str = ""
+
+
+def connect(address: str) -> keyvalue.KeyValueClient:
+    """Returns a client of the key-value service."""
+    # Not needed by `validate`, which works without a network.
+    from carobsail import etcd
+
+    return etcd.EtcdGateway(address)
+
+
+async def fetch_dump(address: str) -> Result:
+    """Returns the state dump of a process."""
+    from carobsail import httpclient
+
+    pool = httpclient.Pool(address, 1, _CONNECT_TIMEOUT_S)
+    try:
+        answer = await pool.request("GET", "/dump", [], b"")
+        if not isinstance(answer, errors.Failure):
+            body = await answer.read(_DUMP_BYTES)
+            if not isinstance(body, errors.Failure):
+                ok = answer.status == 200
+                status = Status.DONE if ok else Status.UNAVAILABLE
+                return Result(status, (body.decode(errors="replace"),))
+            answer = body
+        return Result(Status.UNAVAILABLE, (str(answer),))
+    finally:
+        pool.close()
+
+
+class Pending:
+    """A command whose arguments were read.
+
+    It runs only after fire accepted the whole command line: fire calls a
+    method first and then complains about arguments that are left over, such
+    as a misspelt `--seen`.
+    """
+
+    __slots__ = ("_work",)
+
+    def __init__(self, work: Callable[[], Result]) -> None:
+        self._work = work
+
+
+class Commands:
+    """Changes and shows the configuration.
+
+    Exit codes: 0 accepted (without --wait: committed), 1 invalid, 2 conflict,
+    3 unavailable, 4 committed but not yet accepted, 64 wrong usage.
+    """
+
+    def __init__(
+        self,
+        settings: str = SETTINGS_FILE,
+    ) -> None:
+        """Prepares the commands.
+
+        Args:
+          settings: File with the settings of carobsailctl.
+        """
+        self._settings_file = settings
+        self._connect: Callable[[str], keyvalue.KeyValueClient] = connect
+
+    def validate(self, *files: str, inventory: str = "") -> Pending:
+        """Checks files without the key-value service.
+
+        Args:
+          files: Templates and the client accounts that use them.
+          inventory: File of the inventory in which models must exist.
+        """
+
+        def work() -> Result:
+            documents = operations.load(map(str, files))
+            if isinstance(documents, Result):
+                return documents
+            listed = (
+                operations.load_inventory(str(inventory)) if inventory else None
+            )
+            if isinstance(listed, Result):
+                return listed
+            return operations.validate(documents, listed)
+
+        return Pending(work)
+
+    def plan(self, *files: str) -> Pending:
+        """Shows what apply would change."""
+
+        async def show(
+            client: keyvalue.KeyValueClient,
+            listed: inventory.Inventory | None,
+        ) -> Result:
+            documents = operations.load(map(str, files))
+            if isinstance(documents, Result):
+                return documents
+            return await operations.plan(client, documents)
+
+        return self._pending(show)
+
+    def apply(
+        self, *files: str, seen: int | None = None, wait: bool = False
+    ) -> Pending:
+        """Commits files in one transaction.
+
+        Args:
+          files: Templates and client accounts.
+          seen: Revision that plan showed; a later change is a conflict.
+          wait: Whether to wait until every data centre has confirmed.
+        """
+        metadata = configuration.Metadata(uuid.uuid4().hex, getpass.getuser())
+
+        async def commit(
+            client: keyvalue.KeyValueClient,
+            listed: inventory.Inventory | None,
+        ) -> Result:
+            # fire takes a word after --wait as its value.
+            if not isinstance(wait, bool):
+                line = f'"--wait": expected no value, got {wait}'
+                return Result(Status.INVALID, (line,))
+            if seen is not None and type(seen) is not int:
+                line = f'"--seen": expected a revision, got {seen}'
+                return Result(Status.INVALID, (line,))
+            documents = operations.load(map(str, files))
+            if isinstance(documents, Result):
+                return documents
+            result = await operations.apply(
+                client, documents, metadata, seen, listed
+            )
+            if result.status is not Status.DONE:
+                return result
+            done = f"revision {result.revision} is committed"
+            if not wait:
+                return Result(result.status, (*result.lines, done))
+            if listed is None:
+                line = f"{done}; --wait needs an inventory"
+                return Result(Status.NOT_ACCEPTED, (line,))
+            return await acceptance.wait_accepted(
+                client, result.revision, listed.regions
+            )
+
+        return self._pending(commit)
+
+    def status(self) -> Pending:
+        """Shows leaders, applied revisions and lagging data centres."""
+
+        async def show(
+            client: keyvalue.KeyValueClient,
+            listed: inventory.Inventory | None,
+        ) -> Result:
+            return await acceptance.status(
+                client, listed.regions if listed else ()
+            )
+
+        return self._pending(show)
+
+    def dump(self, address: str) -> Pending:
+        """Shows the state of the process with this operator port."""
+        return Pending(lambda: asyncio.run(fetch_dump(address)))
+
+    def _pending(
+        self,
+        call: Callable[
+            [keyvalue.KeyValueClient, inventory.Inventory | None],
+            Awaitable[Result],
+        ],
+    ) -> Pending:
+        """Returns a command that uses the key-value service."""
+        return Pending(lambda: self._run(call))
+
+    def _run(
+        self,
+        call: Callable[
+            [keyvalue.KeyValueClient, inventory.Inventory | None],
+            Awaitable[Result],
+        ],
+    ) -> Result:
+        try:
+            loaded = settings.load(self._settings_file, CtlSettings)
+            settings.parse_address(loaded.key_value)
+        except ValueError as error:
+            return Result(Status.INVALID, (str(error),))
+        listed = (
+            operations.load_inventory(loaded.inventory)
+            if loaded.inventory
+            else None
+        )
+        if isinstance(listed, Result):
+            return listed
+
+        async def work() -> Result:
+            return await call(self._connect(loaded.key_value), listed)
+
+        return asyncio.run(work())
+
+
+def run(arguments: list[str], commands: Any = Commands) -> int:
+    """Runs one command and returns its exit code."""
+    try:
+        pending = fire.Fire(
+            commands, arguments, "carobsailctl", serialize=_show_nothing
+        )
+    except core.FireExit as error:
+        return USAGE_EXIT if error.code else 0
+    if not isinstance(pending, Pending):
+        print("usage: carobsailctl COMMAND; see --help", file=sys.stderr)
+        return USAGE_EXIT
+    result = pending._work()
+    print("\n".join(result.lines))
+    return int(result.status)
+
+
+def _show_nothing(component: object) -> None:
+    """Keeps fire from printing; the result is printed after the run."""
+
+
+def main() -> None:
+    """Entry point of `carobsailctl`."""
+    raise SystemExit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,138 @@
+"""Guards the operators' command line: exit codes and what it prints."""
+
+import json
+import pathlib
+
+import pytest
+
+from carobsail import configuration, ctl, keyvalue
+from tests import builders_config as build
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+class Commands(ctl.Commands):
+    """Commands on a key-value service in memory."""
+
+    service: keyvalue.MemoryKeyValue
+
+    def __init__(self, settings=ctl.SETTINGS_FILE):
+        super().__init__(settings)
+        self._connect = lambda address: self.service
+
+
+@pytest.fixture
+def work(tmp_path, monkeypatch):
+    """A directory with settings, inventory, a template and an account."""
+    monkeypatch.chdir(tmp_path)
+    Commands.service = keyvalue.MemoryKeyValue()
+    inventory = ctl.msgspec.json.encode(build.listed())
+    (tmp_path / "inventory.json").write_bytes(inventory)
+    for name, plain in {
+        ctl.SETTINGS_FILE: {
+            "key_value": "127.0.0.1:1",
+            "inventory": "inventory.json",
+        },
+        "t.json": build.template(),
+        "a.json": build.account(),
+        "bad.json": build.account(parameters={"models": []}),
+    }.items():
+        (tmp_path / name).write_text(json.dumps(plain))
+    return tmp_path
+
+
+def _run(capsys, *arguments):
+    code = ctl.run(list(arguments), Commands)
+    return code, capsys.readouterr().out
+
+
+@pytest.mark.parametrize("user", ["valtellina", "kagsa"])
+def test_examples_are_valid(user, capsys):
+    """R14, R15: the shipped examples must pass as they are."""
+    files = sorted(map(str, (EXAMPLES / user).glob("*.json")))
+    code, shown = _run(capsys, "validate", *files)
+    assert (code, shown) == (0, f"{len(files)} documents are valid\n")
+    assert len(files) == 3
+
+
+def test_validate_reports_every_file(work, capsys):
+    """R8: an operator must see all errors at once, each with its file."""
+    (work / "c.json").write_text("{")
+    code, shown = _run(capsys, "validate", "c.json", "gone.json")
+    assert code == 1
+    assert shown.splitlines()[0].startswith("c.json: malformed JSON ")
+    assert shown.splitlines()[1] == "gone.json: No such file or directory"
+    code, shown = _run(capsys, "validate", "t.json", "bad.json")
+    assert code == 1
+    assert '"parameters.models": expected list length >= 1, got 0' in shown
+
+
+def test_plan_then_apply(work, capsys):
+    """R8: a change must be committed once, and repeated without effect."""
+    code, shown = _run(capsys, "plan", "t.json", "a.json")
+    assert code == 0
+    assert "2 of 2 documents change; apply with --seen 1" in shown
+    code, shown = _run(capsys, "apply", "t.json", "a.json", "--seen", "1")
+    assert (code, shown) == (0, "revision 2 is committed\n")
+    code, shown = _run(capsys, "apply", "t.json", "a.json")
+    assert (code, shown.splitlines()[0]) == (0, "nothing changes")
+    (work / "t.json").write_text(json.dumps(build.template(parameters=[])))
+    assert _run(capsys, "apply", "t.json")[0] == 1
+
+
+def test_exit_codes_tell_failures_apart(work, capsys):
+    """R13: a script must tell conflict, outage and missing acceptance."""
+    assert _run(capsys, "apply", "bad.json")[0] == 1
+    assert _run(capsys, "apply", "t.json", "a.json")[0] == 0
+    (work / "a.json").write_text(json.dumps(build.account(key_hashes=[])))
+    code, shown = _run(capsys, "apply", "a.json", "--seen", "1")
+    assert code == 2 and "nothing was changed" in shown
+    Commands.service.available = False
+    assert _run(capsys, "plan", "a.json")[0] == 3
+    assert _run(capsys, "status")[0] == 3
+
+
+def test_status_names_what_is_not_in_force(work, capsys):
+    """R8: a lagging data centre or a malformed document must be named."""
+    _run(capsys, "apply", "t.json", "a.json")
+    code, shown = _run(capsys, "status")
+    assert code == 4
+    assert "data centre lecco-a: leader none, applied 0 lagging by 2" in shown
+
+
+def test_change_that_breaks_an_account_is_rejected(work, capsys):
+    """R2: a template must not take a model from an account that uses it."""
+    _run(capsys, "apply", "t.json", "a.json")
+    template = build.template()
+    template["account"]["models"] = ["lost"]
+    (work / "t.json").write_text(json.dumps(template))
+    code, shown = _run(capsys, "apply", "t.json")
+    assert (code, shown) == (
+        1,
+        'accounts/valtellina: "models": no model "lost"\n',
+    )
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["apply", "t.json", "--sen", "5"], ctl.USAGE_EXIT),
+        (["apply", "t.json", "--wait", "a.json"], 1),
+        (["apply", "t.json", "--seen", "now"], 1),
+        (["bogus"], ctl.USAGE_EXIT),
+        ([], ctl.USAGE_EXIT),
+    ],
+)
+def test_wrong_usage_changes_nothing(work, arguments, code, capsys):
+    """R8: a misspelt option must not commit a change without it."""
+    assert ctl.run(arguments, Commands) == code
+    assert "transact" not in Commands.service.calls
+
+
+def test_stored_documents_carry_their_change(work, capsys):
+    """R8: without the identifier a lost response cannot be resolved."""
+    _run(capsys, "apply", "t.json")
+    (stored,) = Commands.service._values.values()
+    document = configuration.parse_document(stored.value)
+    assert len(document.metadata.change) == 32
+    assert document.metadata.operator
