--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -96,6 +96,7 @@
         targets: directory.TargetDirectory,
         policy: routing.RoutingPolicy,
         transport: Transport,
+        receivers: attempts.Receivers,
         metrics: telemetry.Metrics,
         rng: random.Random,
     ) -> None:
@@ -106,10 +107,11 @@
           targets: Known targets.
           policy: Routing policy.
           transport: Sends attempts.
+          receivers: Receives their answers.
           metrics: Counts and timings.
           rng: Source of the backoff's jitter.
         """
-        self.receivers = attempts.Receivers()
+        self.receivers = receivers
         self._prefix = prefix
         self._directory = targets
         self._policy = policy
@@ -124,9 +126,7 @@
         self, request: requests.CallerRequest, now: float
     ) -> float:
         """Returns the least predicted wait at any target, in seconds."""
-        views = self._directory.views(
-            request, self._expect(request), now, remote=False
-        )
+        views = self._directory.views(self._demand(request), now, remote=False)
         waits = [v.prediction.start_s for v in views if v.serving]
         return min(waits, default=0.0)
 
@@ -214,7 +214,7 @@
         # A non-idempotent operation stays in its data centre: a link between
         # data centres that breaks would leave its outcome unknown.
         views = self._directory.views(
-            request, tokens, now, remote=subject.idempotent
+            self._demand(request), now, remote=subject.idempotent
         )
         route = routing.RouteRequest(
             model=request.operation.service or request.model,
@@ -240,6 +240,9 @@
             request.output_tokens,
         )
 
+    def _demand(self, request: requests.CallerRequest) -> directory.Demand:
+        return directory.Demand.of_request(request, self._expect(request))
+
     def _describe(
         self,
         subject: exchange.Exchange,
