Join entry and control processes into the whole path

Cause: the modules had not served a request together. Change: entryinstance wires callers, owned targets and links; residency names services too, so that a booking reaches the one data centre that runs the service; a repeat waits for a result that is being recorded.

--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -1,9 +1,9 @@
 """The control process: candidate for leader of a data centre."""
 
 import asyncio
+import logging
 import os
 import random
-import signal
 import sys
 import time
 
@@ -18,15 +18,25 @@
     etcd,
     httpserver,
     inventorysource,
+    keyvalue,
     messages,
+    operatorport,
     peers,
     policies,
     settings,
+    signals,
     telemetry,
 )
 from carobsail.controller import Controller
 
-__all__ = ["ControlSettings", "Controller", "main", "serve"]
+__all__ = [
+    "ControlServers",
+    "ControlSettings",
+    "Controller",
+    "main",
+    "serve",
+    "start",
+]
 
 
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -70,14 +80,53 @@
         return list(self._set.policies.values())
 
 
-async def serve(loaded: ControlSettings) -> int:
-    """Runs the process until SIGTERM; a second signal stops at once.
+class ControlServers:
+    """The ports of a control process.
+
+    Attributes:
+      controller: The controller behind the ports.
+    """
+
+    __slots__ = ("_operators", "_peers", "_source", "controller")
+
+    def __init__(
+        self,
+        process: controller.Controller,
+        peer_server: peers.PeerServer,
+        operators: httpserver.Server,
+        source: inventorysource.InventorySource,
+    ) -> None:
+        """Takes servers that listen already."""
+        self.controller = process
+        self._peers = peer_server
+        self._operators = operators
+        self._source = source
+
+    async def stop(self) -> None:
+        """Hands the lease over and closes all ports."""
+        await self.controller.stop()
+        await self._close()
+
+    async def kill(self) -> int:
+        """Stops at once; a control process has no requests to cut."""
+        await self.controller.kill()
+        await self._close()
+        return 0
+
+    async def _close(self) -> None:
+        self._peers.close()
+        await self._operators.close()
+        self._source.close()
+
+
+async def start(
+    loaded: ControlSettings, service: keyvalue.KeyValueClient
+) -> ControlServers:
+    """Starts a control process with its ports.
 
     Args:
       loaded: Settings of the process.
-
-    Returns:
-      The exit code: 0 after a planned stop, 1 after a fault.
+      service: Client of the key-value service.
     """
     hello = messages.Hello(
         messages.PROTOCOL_VERSION,
@@ -92,7 +141,6 @@
     async def connect(address: str) -> peers.Link | errors.Failure:
         return await peers.connect_peer(address, hello, secrets)
 
-    service = etcd.EtcdGateway(loaded.key_value_url.removeprefix("http://"))
     source = inventorysource.InventorySource(loaded.inventory_url)
     process = Controller(
         hello,
@@ -104,67 +152,45 @@
         calls_per_s=loaded.calls_per_s,
     )
     host, port = settings.parse_address(loaded.peer_listen)
-    server = await peers.serve_peers(
+    peer_server = await peers.serve_peers(
         host, port, hello, secrets, process.on_link
     )
     host, port = settings.parse_address(loaded.operator_listen)
-    operator = await httpserver.serve(
+    operators = await httpserver.serve(
         host,
         port,
-        _Operator(process).handle,
+        operatorport.OperatorPort(
+            dump=process.dump,
+            healthy=lambda: not process.failed.is_set(),
+            ready=lambda: process.ready,
+        ).handle,
         httpserver.Bounds(),
-        "operator",
+        "operators",
     )
     process.start()
-    await _until_signal(process.failed)
-    await process.stop()
-    server.close()
-    await operator.close()
-    source.close()
-    service.close()
-    return 1 if process.failed.is_set() else 0
-
+    return ControlServers(process, peer_server, operators, source)
 
-class _Operator:
-    """The operator port."""
 
-    __slots__ = ("_controller",)
+async def serve(loaded: ControlSettings) -> int:
+    """Runs the process until a signal; a second one stops at once.
 
-    def __init__(self, controller: Controller) -> None:
-        self._controller = controller
+    Args:
+      loaded: Settings of the process.
 
-    async def handle(
-        self, request: httpserver.Request, responder: httpserver.Responder
-    ) -> None:
-        text, body = [("content-type", "text/plain")], b""
-        status = 404
-        if request.path == "/healthz":
-            status = 503 if self._controller.failed.is_set() else 200
-        elif request.path == "/readyz":
-            status = 200 if self._controller.ready else 503
-        elif request.path == "/dump":
-            status = 200
-            text = [("content-type", "application/json")]
-            body = msgspec.json.encode(self._controller.dump())
-        await responder.send(status, text, body)
-
-
-async def _until_signal(failed: asyncio.Event) -> None:
-    """Waits for SIGTERM, SIGINT or a fault; a second signal ends at once."""
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-
-    def stop() -> None:
-        if stopped.is_set():
-            os._exit(1)
-        stopped.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop)
-    waits = [asyncio.create_task(e.wait()) for e in (failed, stopped)]
-    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for wait in waits:
-        wait.cancel()
+    Returns:
+      The exit code: 0 after a planned stop, 1 after a fault.
+    """
+    service = etcd.EtcdGateway(loaded.key_value_url.removeprefix("http://"))
+    servers = await start(loaded, service)
+    failed = servers.controller.failed
+    log = logging.getLogger(telemetry.LOGGER_NAME)
+    telemetry.log(log, "started", instance=loaded.instance)
+    stop_signals = signals.StopSignals()
+    await stop_signals.wait(failed)
+    await stop_signals.stop(servers.stop, servers.kill, log)
+    service.close()
+    telemetry.log(log, "stopped", instance=loaded.instance)
+    return 1 if failed.is_set() else 0
 
 
 def run(path: str) -> None:
--- a/carobsail/delays.py
+++ b/carobsail/delays.py
@@ -37,20 +37,20 @@
 class DelayedLink(links.Link):
     """Delays the messages that this end of a link sends."""
 
-    __slots__ = ("_inner", "_path", "_waiting")
+    __slots__ = ("_inner", "_path", "_room", "_waiting")
 
     def __init__(self, inner: links.Link, path: RegionLink) -> None:
         super().__init__(inner.peer)
         self._inner = inner
         self._path = path
-        self._waiting: collections.deque[messages.Message] = (
-            collections.deque()
-        )
+        self._room = asyncio.Event()
+        self._waiting: collections.deque[messages.Message] = collections.deque()
 
     async def send(self, message: messages.Message) -> None | errors.Failure:
         """See base class."""
         while len(self._waiting) >= MAX_WAITING and not self.closed:
-            await asyncio.sleep(self._path.latency_s)
+            self._room.clear()
+            await self._room.wait()
         return None if self.offer(message) else self._closed_failure()
 
     def offer(self, message: messages.Message) -> bool:
@@ -66,10 +66,12 @@
     def _deliver(self) -> None:
         # Takes the oldest message, so that none overtakes another.
         self._inner.offer(self._waiting.popleft())
+        self._room.set()
 
     async def close(self) -> None:
         """See base class."""
         self.closed = True
+        self._room.set()
         await self._inner.close()
 
     async def __aiter__(self) -> AsyncIterator[messages.Message]:
--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -77,7 +77,7 @@
     def of_dispatch(cls, request: messages.Dispatch) -> "Demand":
         """Returns the demand of another data centre's request."""
         return cls(
-            request.model,
+            request.service or request.model,
             request.model,
             request.adapter,
             request.prompt_tokens,
@@ -96,9 +96,11 @@
     """
 
     __slots__ = (
+        "_adapters",
         "_dispatcher",
         "_gateways",
         "_loads",
+        "_models",
         "_models_of",
         "_prefixes",
         "_remotes",
@@ -139,6 +141,8 @@
         self._reported = estimation.ReportedWork()
         self._loads: dict[str, tuple[str, messages.TargetLoad]] = {}
         self._targets: dict[str, inventory.Target] = {}
+        self._adapters: dict[str, inventory.Adapter] = {}
+        self._models: dict[str, inventory.Model] = {}
         self._remotes: dict[str, _Remote] = {}
         self._gateways: Callable[[str], bool] = lambda _: False
 
@@ -152,6 +156,9 @@
         """Takes over an inventory of a version."""
         self.version = version
         self.listed = listed
+        self.listed = listed
+        self._adapters = {a.name: a for a in listed.adapters}
+        self._models = {m.name: m for m in listed.models}
         self.adapter_models = {a.name: a.model for a in listed.adapters}
         own = listed.in_data_centre(self.data_centre)
         self._targets = {target.name: target for target in own}
@@ -160,6 +167,23 @@
         """Returns a target of the own data centre."""
         return self._targets.get(name)
 
+    def adapter(self, name: str) -> inventory.Adapter | None:
+        """Returns an adapter of the inventory."""
+        return self._adapters.get(name)
+
+    def size_mb(self, model: str) -> int | None:
+        """Returns the memory of a model in MB, None when it is unknown."""
+        listed = self._models.get(model.partition("@")[0])
+        return listed.weights_mb if listed else None
+
+    def has_other_copy(self, model: str, target: str) -> bool:
+        """Tells whether another target of the data centre serves a model."""
+        return any(
+            model in self._served(other)
+            for name, other in self._targets.items()
+            if name != target
+        )
+
     def report(self, owner: str, loads: messages.Loads, now: float) -> None:
         """Takes over the loads that an owner reports."""
         if loads.full:
@@ -229,7 +253,7 @@
             for target in self._targets.values()
             if demand.served in self._served(target)
         ]
-        if remote and demand.model:
+        if remote:
             found.extend(self._remote_views(demand, now))
         return found
 
@@ -280,19 +304,17 @@
         )
 
     def _adapter_load_s(self, adapter: str, resident: frozenset[str]) -> float:
-        if not adapter or adapter in resident or self.listed is None:
+        if not adapter or adapter in resident:
             return 0.0
-        for listed in self.listed.adapters:
-            if listed.name == adapter:
-                return listed.load_ms / 1000
-        return 0.0
+        listed = self._adapters.get(adapter)
+        return listed.load_ms / 1000 if listed else 0.0
 
     def _remote_views(
         self, demand: Demand, now: float
     ) -> list[routing.TargetView]:
         found = []
         for name, remote in self._remotes.items():
-            if not remote.models.get(demand.model):
+            if not remote.models.get(demand.served):
                 continue
             if not self._gateways(name):
                 continue
@@ -318,7 +340,7 @@
         bytes_per_s = self.listed.region_link_mbit_per_s * 1e6 / 8
         return routing.TargetView(
             name=data_centre,
-            models=frozenset((demand.model,)),
+            models=frozenset((demand.served,)),
             prediction=estimation.predict(_REMOTE_ENGINE, backlog, work),
             slots=REMOTE_SLOTS,
             path=routing.Path(
--- /dev/null
+++ b/carobsail/enginememory.py
@@ -0,0 +1,281 @@
+"""Models and adapters of one owned engine, and the orders that move them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from carobsail import (
+    adapters,
+    directory,
+    engines,
+    errors,
+    grants,
+    inventory,
+    keyvalue,
+    ledger,
+    messages,
+    orders,
+    ownedtargets,
+    targetrunner,
+)
+
+Permit = Callable[[str], Callable[[], None] | None]
+
+
+class PoolGate(targetrunner.AdapterGate):
+    """Carries out the orders of an engine's adapter pool.
+
+    Attributes:
+      pool: The pool.
+    """
+
+    __slots__ = (
+        "_client",
+        "_directory",
+        "_grants",
+        "_tasks",
+        "_waiters",
+        "pool",
+    )
+
+    def __init__(
+        self,
+        pool: adapters.AdapterPool,
+        client: engines.EngineClient,
+        holder: grants.GrantHolder,
+        targets: directory.TargetDirectory,
+    ) -> None:
+        """Creates the gate of one engine."""
+        self.pool = pool
+        self._client = client
+        self._grants = holder
+        self._directory = targets
+        self._waiters: dict[
+            str, list[asyncio.Future[errors.Failure | None]]
+        ] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def acquire(self, adapter: str) -> None | errors.Failure:
+        """See base class."""
+        listed = self._directory.adapter(adapter)
+        if listed is None:
+            return self._refuse(errors.Reason.UNKNOWN_ADAPTER, adapter)
+        if not self.pool.is_ready(adapter) and not self._may_order():
+            return self._refuse(errors.Reason.NOT_READY, adapter)
+        refused = self.pool.acquire(adapter, listed.size_mb)
+        if refused is not None or self.pool.is_ready(adapter):
+            return refused
+        waiter: asyncio.Future[errors.Failure | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters.setdefault(adapter, []).append(waiter)
+        self.send_orders()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.release(adapter)
+            raise
+
+    def _may_order(self) -> bool:
+        return self._grants.may_order(_now())
+
+    def _refuse(self, reason: errors.Reason, adapter: str) -> errors.Failure:
+        return errors.Failure(
+            reason,
+            errors.Step.LOAD_ADAPTER,
+            adapter,
+            detail="the adapter is not resident and cannot be loaded now",
+        )
+
+    def release(self, adapter: str) -> None:
+        """See base class."""
+        self.pool.release(adapter)
+        self.send_orders()
+
+    def load_s(self, adapter: str) -> float:
+        """See base class."""
+        if self.pool.is_ready(adapter):
+            return 0.0
+        listed = self._directory.adapter(adapter)
+        return listed.load_ms / 1000 if listed else 0.0
+
+    def resident(self) -> list[str]:
+        """See base class."""
+        return self.pool.resident()
+
+    def send_orders(self) -> None:
+        """Sends the orders that the pool wants now."""
+        if not self._may_order():
+            return
+        for order in self.pool.orders(_now()):
+            task = asyncio.create_task(self._send(order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, order: adapters.AdapterOrder) -> None:
+        listed = self._directory.adapter(order.adapter)
+        failure: errors.Failure | None
+        if listed is None or not self._may_order():
+            failure = self._refuse(errors.Reason.NOT_READY, order.adapter)
+        elif order.load:
+            failure = await self._client.load_adapter(
+                order.adapter, listed.model, self._grants.epoch
+            )
+        else:
+            failure = await self._client.unload_adapter(
+                order.adapter, self._grants.epoch
+            )
+        self.pool.answered(order, failure)
+        if order.load:
+            for waiter in self._waiters.pop(order.adapter, []):
+                if not waiter.done():
+                    waiter.set_result(failure)
+        self.send_orders()
+
+
+class EngineMemory(ownedtargets.OwnedEngine):
+    """Models and adapters of one owned engine.
+
+    Attributes:
+      gate: Adapter pool.
+      orders: Model orders and memory ledger.
+    """
+
+    __slots__ = (
+        "_adopted",
+        "_client",
+        "_ended",
+        "_grants",
+        "_report",
+        "_runner",
+        "_target",
+        "gate",
+        "orders",
+    )
+
+    def __init__(
+        self,
+        target: inventory.Target,
+        client: engines.EngineClient,
+        store: keyvalue.KeyValueClient,
+        holder: grants.GrantHolder,
+        targets: directory.TargetDirectory,
+        runner: targetrunner.TargetRunner,
+        loads: adapters.LoadsInFlight,
+        permit: Permit,
+        rng: random.Random,
+    ) -> None:
+        """Creates the memory side of an engine that was granted just now.
+
+        Args:
+          target: The engine.
+          client: Its client.
+          store: Key-value client for intents.
+          holder: Grants of this instance.
+          targets: Known targets.
+          runner: Runner of the engine.
+          loads: Bound on adapter loads under way.
+          permit: Takes a permit of the weight store for a model load.
+          rng: Source of the backoff's jitter.
+        """
+        self._target = target
+        self._client = client
+        self._grants = holder
+        self._runner = runner
+        self._report: engines.EngineReport | None = None
+        self._adopted = 0
+        self._ended = False
+        self.gate: PoolGate = PoolGate(
+            adapters.AdapterPool(target, loads), client, holder, targets
+        )
+        guards = orders.Guards(
+            may_order=self._may_order,
+            may_unload=lambda m: targets.has_other_copy(m, target.name),
+            drained=lambda model: not runner.flights.uses(model),
+            permit=permit,
+            size_mb=targets.size_mb,
+        )
+        self.orders = orders.EngineOrders(target, client, store, guards, rng)
+
+    def _may_order(self) -> bool:
+        now = _now()
+        owns = self._grants.owns(self._target.name, now)
+        return owns and not self._ended and self._grants.may_order(now)
+
+    def models(self) -> list[str]:
+        """See base class.
+
+        Models that the latest report lists are served as well: a new owner
+        need not wait for the settling of its ledger to send requests.
+        """
+        book = self.orders.ledger
+        found = set(book.models(ledger.Hold.RESIDENT))
+        if self._report is not None:
+            found.update(
+                model
+                for model in self._report.models
+                if book.hold_of(model) is not ledger.Hold.UNLOADING
+            )
+        return sorted(found - self.orders.leaving)
+
+    def progress(self, demand: dict[str, float]) -> messages.TargetProgress:
+        """See base class."""
+        book = self.orders.ledger
+        resident = self.models()
+        held = book.intents()
+        reserved = sorted(set(held) - set(resident))
+        return messages.TargetProgress(
+            self._target.name, resident, reserved, demand
+        )
+
+    def want(self, plan: messages.TargetPlan) -> None:
+        """See base class."""
+        self.orders.want(plan)
+
+    async def work(self) -> engines.EngineReport | errors.Failure:
+        """See base class."""
+        asked_at = _now()
+        report = await self._read_report()
+        if isinstance(report, errors.Failure):
+            return report
+        if self._report is None:
+            self.gate.pool.adopt(report)
+        restarted = (
+            self._report is not None
+            and report.incarnation != self._report.incarnation
+        )
+        self._report = report
+        self.gate.pool.observe(report, asked_at)
+        self.orders.observe(report, asked_at)
+        if restarted:
+            self.gate.pool.observe(report, float("inf"))
+        self.gate.send_orders()
+        await self._order()
+        return report
+
+    async def _read_report(self) -> engines.EngineReport | errors.Failure:
+        try:
+            async with asyncio.timeout(orders.REPORT_TIMEOUT_S):
+                return await self._client.report()
+        except TimeoutError:
+            return errors.Failure(
+                errors.Reason.TIMEOUT, errors.Step.CONNECT, self._target.name
+            )
+
+    async def _order(self) -> None:
+        """Takes the engine over under a new epoch, then sends an order."""
+        epoch = self._grants.epoch
+        if self._may_order() and self._adopted != epoch:
+            failure = await self.orders.adopt(epoch, _now())
+            if failure is not None:
+                return
+            self._adopted = epoch
+        await self.orders.step()
+
+    def end(self) -> None:
+        """See base class."""
+        self._ended = True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/carobsail/entry.py
+++ b/carobsail/entry.py
@@ -6,6 +6,7 @@
 import random
 import sys
 import time
+from collections.abc import Callable
 from typing import Annotated
 
 import fire
@@ -77,14 +78,24 @@
     bounds: CallerBounds = CallerBounds()
 
 
+Shape = Callable[[peers.Link], peers.Link]
+
+
+def _keep(link: peers.Link) -> peers.Link:
+    return link
+
+
 def build_instance(
-    loaded: EntrySettings, service: keyvalue.KeyValueClient
+    loaded: EntrySettings,
+    service: keyvalue.KeyValueClient,
+    shape: Shape = _keep,
 ) -> entryinstance.EntryInstance:
     """Builds the instance that the settings describe.
 
     Args:
       loaded: Settings of the process.
       service: Client of the key-value service.
+      shape: Wraps each link, for example to delay it.
     """
     hello = messages.Hello(
         messages.PROTOCOL_VERSION,
@@ -97,7 +108,8 @@
     secrets = [secret.encode() for secret in loaded.peer_secrets]
 
     async def connect(address: str) -> peers.Link | errors.Failure:
-        return await peers.connect_peer(address, hello, secrets)
+        link = await peers.connect_peer(address, hello, secrets)
+        return link if isinstance(link, errors.Failure) else shape(link)
 
     return entryinstance.EntryInstance(
         entryinstance.Surroundings(
@@ -155,19 +167,26 @@
 
 
 async def start(
-    loaded: EntrySettings, service: keyvalue.KeyValueClient
+    loaded: EntrySettings,
+    service: keyvalue.KeyValueClient,
+    shape: Shape = _keep,
 ) -> EntryServers:
     """Starts an entry instance with its ports.
 
     Args:
       loaded: Settings of the process.
       service: Client of the key-value service.
+      shape: Wraps each link, for example to delay it.
     """
-    instance = build_instance(loaded, service)
+    instance = build_instance(loaded, service, shape)
+
+    async def on_link(link: peers.Link) -> None:
+        await instance.on_link(shape(link))
+
     secrets = [secret.encode() for secret in loaded.peer_secrets]
     host, port = settings.parse_address(loaded.peer_listen)
     peer_server = await peers.serve_peers(
-        host, port, instance.hello, secrets, instance.on_link
+        host, port, instance.hello, secrets, on_link
     )
     host, port = settings.parse_address(loaded.operator_listen)
     operators = await httpserver.serve(
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carobsail import (
+    adapters,
     admission,
     attempts,
     claimrouting,
@@ -105,6 +106,7 @@
         self.prefixes = prefixes.PrefixIndex()
         self.suspects = suspects.SuspectBook(around.hello.instance)
         self.dispatcher = dispatcher.Dispatcher()
+        self._adapter_loads = adapters.LoadsInFlight(1)
         self.owned = ownedtargets.OwnedTargets(
             self.dispatcher, self.grants, self._new_runner, self._new_engine
         )
@@ -151,6 +153,7 @@
             self.policy,
             around.metrics,
         )
+        self.directory.set_gateways(self.links.gateways.__contains__)
         self.forwarder = forwarder.Forwarder(
             prefix,
             self.directory,
@@ -209,6 +212,8 @@
             self.grants,
             self.directory,
             runner,
+            self._adapter_loads,
+            lambda model: _unlimited,
             around.rng,
         )
         runner.adapters = engine.gate
@@ -392,6 +397,8 @@
         if message.version < self.directory.version:
             return
         self.directory.update_inventory(listed, message.version)
+        owned = len(self.owned.engines)
+        self._adapter_loads.set_limit(adapters.share_of_limit(listed, owned))
         self.owned.update(listed.in_data_centre(self.hello.data_centre))
         self._peer_set.set_addresses(self._peer_addresses(listed))
 
@@ -533,5 +540,9 @@
         }
 
 
+def _unlimited() -> None:
+    """Gives nothing back."""
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -229,7 +229,9 @@
     def _pass_on(self, link: links.Link, request: messages.Dispatch) -> None:
         """Sends another data centre's request to the owner of its target."""
         if not request.target:
-            failure = self._unsent(errors.Reason.NO_TARGET, request.model)
+            failure = self._unsent(
+                errors.Reason.NO_TARGET, request.service or request.model
+            )
             link.offer(messages.Failed.from_failure(request.attempt, failure))
             return
         receiver = self._receivers.open(request.attempt)
--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -211,11 +211,12 @@
         now = _now()
         request = subject.request
         tokens = self._expect(request)
-        # A non-idempotent operation stays in its data centre: a link between
-        # data centres that breaks would leave its outcome unknown.
-        views = self._directory.views(
-            self._demand(request), now, remote=subject.idempotent
-        )
+        demand = self._demand(request)
+        views = self._directory.views(demand, now, remote=subject.idempotent)
+        if not subject.idempotent and not any(v.serving for v in views):
+            # It leaves its data centre only if it must: a link that breaks
+            # would leave its outcome unknown.
+            views = self._directory.views(demand, now, remote=True)
         route = routing.RouteRequest(
             model=request.operation.service or request.model,
             due_at=subject.due,
@@ -270,6 +271,7 @@
             priority=routing.engine_priority(request.policy.priority, slack_s),
             idempotent=subject.idempotent,
             fingerprint=request.fingerprint,
+            service=request.operation.service,
         )
 
     async def _exchange(
--- a/carobsail/gateway.py
+++ b/carobsail/gateway.py
@@ -24,6 +24,9 @@
 MODELS_PATH = "/v1/models"
 KEYS_PATH = "/v1/idempotency-keys"
 RELEASE_WAIT_S = 1.0
+# Two batches of the claim writer, and twice as long for each further try.
+CLAIM_REPEATS_S = (0.2, 0.4, 0.8)
+_UNDECIDED = (errors.Reason.OUTCOME_UNKNOWN, errors.Reason.IN_PROGRESS)
 _JSON = [("content-type", "application/json")]
 
 
@@ -214,9 +217,7 @@
         request = subject.request
         ticket = None
         if request.key and not subject.idempotent:
-            claimed = await self._claims.claim(
-                request.policy.account, request.key, request.fingerprint
-            )
+            claimed = await self._claim(subject)
             if isinstance(claimed, messages.StoredAnswer):
                 headers = [*claimed.headers, ("idempotent-replayed", "true")]
                 await responder.send(claimed.status, headers, claimed.body)
@@ -236,6 +237,29 @@
         if not isinstance(result, errors.Failure):
             self._record(subject, "answered")
 
+    async def _claim(
+        self, subject: exchange.Exchange
+    ) -> claimrouting.Ticket | messages.StoredAnswer | errors.Failure:
+        """Claims the key; a repeat waits a little for the first one's result.
+
+        Results are recorded in batches, so a repeat can arrive between an
+        answer and its record.
+        """
+        request = subject.request
+        for delay_s in (*CLAIM_REPEATS_S, None):
+            claimed = await self._claims.claim(
+                request.policy.account, request.key, request.fingerprint
+            )
+            undecided = isinstance(claimed, errors.Failure) and (
+                claimed.reason in _UNDECIDED
+            )
+            if delay_s is None or not undecided:
+                break
+            if _now() + delay_s > subject.due:
+                break
+            await asyncio.sleep(delay_s)
+        return claimed
+
     async def _execute(
         self,
         subject: exchange.Exchange,
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -58,6 +58,7 @@
       fingerprint: Hash of body, model and adapter.
       resume_of: Attempt whose stream is continued, empty for a new request.
       resume_after: Identifier of the last event that was delivered.
+      service: Service name, empty for models.
     """
 
     attempt: str
@@ -77,6 +78,7 @@
     fingerprint: str
     resume_of: str = ""
     resume_after: str = ""
+    service: str = ""
 
 
 def with_target(request: Dispatch, target: str) -> Dispatch:
--- a/carobsail/residency.py
+++ b/carobsail/residency.py
@@ -84,6 +84,7 @@
     async def publish(
         self,
         progress: Iterable[messages.TargetProgress],
+        services: Iterable[str],
         leader: keyvalue.Compare,
         now: float,
     ) -> None | errors.Failure:
@@ -91,12 +92,14 @@
 
         Args:
           progress: Latest progress of each engine.
+          services: Service of each live service target.
           leader: Compare of the leader key, which fences a deposed leader.
           now: Loop time in seconds.
         """
         counted = collections.Counter(
             model for entry in progress for model in entry.resident
         )
+        counted.update(services)
         models = dict(sorted(counted.items()))
         due = now - self._written_at >= WRITE_INTERVAL_S
         if models == self._written or not due:
--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -257,9 +257,20 @@
             confirmed = self.relay.confirmed(required)
             await self._applied.publish(confirmed, self._fence(), self._now())
             await self._residency.publish(
-                self.plans.progress.values(), self._fence(), self._now()
+                self.plans.progress.values(),
+                self._services(self.inventory),
+                self._fence(),
+                self._now(),
             )
 
+    def _services(self, listed: inventory.Inventory) -> list[str]:
+        return [
+            target.pool
+            for target in listed.in_data_centre(self._context.data_centre)
+            if target.kind is inventory.Kind.SERVICE
+            and target.state is inventory.State.LIVE
+        ]
+
     async def _assign(self) -> None:
         retry_s = OWNERSHIP_INTERVAL_S
         while True:
