--- a/bench/routing.py
+++ b/bench/routing.py
@@ -6,7 +6,6 @@
 request that a full queue refuses counts as not on time.
 """
 
-import dataclasses
 import functools
 import math
 import random
@@ -14,6 +13,7 @@
 from typing import Any
 
 import fire
+import msgspec
 from hdrh import histogram
 
 from bench import queues, workload
@@ -81,7 +81,7 @@
         self.lengths.observe(
             job.account, job.path, job.model, job.output_tokens
         )
-        real = dataclasses.replace(
+        real = msgspec.structs.replace(
             job.expected, output_tokens=job.output_tokens
         )
         alone = estimation.predict(
--- a/carobsail/admission.py
+++ b/carobsail/admission.py
@@ -311,10 +311,10 @@
             return None
         if any(entry.alone for entry in self._running.values()):
             return None
-        entry = self._pick(now)
+        entry, least_tag = self._pick(now)
         if entry.alone and self._running:
             return None  # Starts wait until the target has drained.
-        self._charge(entry)
+        self._charge(entry, least_tag)
         del self._waiting[entry.attempt]
         self._running[entry.attempt] = entry
         return entry
@@ -346,22 +346,26 @@
             self._remember(entry.attempt)
         return entries
 
-    def _pick(self, now: float) -> QueueEntry:
-        entries = list(self._waiting.values())
-        savable = [e for e in entries if e.can_be_on_time(now)]
-        late = [e for e in entries if not e.can_be_on_time(now)]
+    def _pick(self, now: float) -> tuple[QueueEntry, float]:
+        """Returns the next entry and the least start tag of all entries."""
+        best: dict[bool, tuple[float, float, QueueEntry]] = {}
+        for entry in self._waiting.values():
+            tag, late = self._start_tag(entry), not entry.can_be_on_time(now)
+            least = best.get(late)
+            if least is None or (tag, entry.due_at) < least[:2]:
+                best[late] = tag, entry.due_at, entry
         late_turn = self._starts % LATE_TURN == LATE_TURN - 1
-        chosen = late if late and (late_turn or not savable) else savable
-        return min(chosen, key=lambda e: (self._start_tag(e), e.due_at))
+        chosen = best[True in best and (late_turn or False not in best)]
+        return chosen[2], min(tag for tag, _, _ in best.values())
 
     def _start_tag(self, entry: QueueEntry) -> float:
-        return max(self._virtual, self._finish_tags.get(entry.account, 0.0))
+        tag = self._finish_tags.get(entry.account, 0.0)
+        return tag if tag > self._virtual else self._virtual
 
-    def _charge(self, entry: QueueEntry) -> None:
-        start = self._start_tag(entry)
+    def _charge(self, entry: QueueEntry, least_tag: float) -> None:
         cost = entry.service_s / max(1e-6, entry.weight)
-        self._virtual = min(self._start_tag(e) for e in self._waiting.values())
-        self._finish_tags[entry.account] = start + cost
+        self._finish_tags[entry.account] = self._start_tag(entry) + cost
+        self._virtual = least_tag
         self._starts += 1
 
     def _forget_idle(self) -> None:
--- a/carobsail/estimation.py
+++ b/carobsail/estimation.py
@@ -9,6 +9,8 @@
 import heapq
 import math
 
+import msgspec
+
 from carobsail import errors, inventory
 
 REPORT_MAX_AGE_S = 3.0  # Loads come once a second; three lost ones are silence.
@@ -31,8 +33,7 @@
 MAX_OUTPUT_TOKENS = 65_536.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Work:
+class Work(msgspec.Struct, frozen=True, gc=False):
     """What a request asks of a target.
 
     Attributes:
@@ -48,8 +49,7 @@
     adapter_load_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Backlog:
+class Backlog(msgspec.Struct, frozen=True, gc=False):
     """Work ahead of a new request at a target.
 
     Attributes:
@@ -63,8 +63,7 @@
     prefill_wait_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Prediction:
+class Prediction(msgspec.Struct, frozen=True, gc=False):
     """Predicted seconds from now to start, first token and finish."""
 
     start_s: float
