Bound the candidates of a placement round

Change: at most 16 engines are compared for a copy, only the model that gained a copy is spread anew, 16 futile tries end a round's growth.

--- a/carobsail/placement.py
+++ b/carobsail/placement.py
@@ -4,12 +4,14 @@
 refuses before anything moves when the models in use cannot all fit.
 """
 
+import itertools
 from collections.abc import Callable, Collection, Mapping
 
 from carobsail import errors, inventory
 from carobsail.demand import Demand
 from carobsail.planning import (
     GROW_ABOVE,
+    MOST_COMPARED,
     NO_DEMAND,
     EngineState,
     Placement,
@@ -20,6 +22,7 @@
 SHRINK_BELOW = 0.4  # Far below GROW_ABOVE, so that placement does not flap.
 SHRINK_INTERVAL_S = 120.0  # An engine is released at most this often.
 BENEFIT_S = 600.0  # Time over which a move's cost is weighed.
+MOST_FUTILE = 16  # Overloaded engines tried in vain before a round ends.
 MOST_GROWTH = 16  # Copies added a round; the store starts about 1 load/s.
 
 Policy = Callable[[Round], Placement | errors.Failure]
@@ -82,32 +85,43 @@
 
 def _grow(state: Round) -> bool:
     """Adds copies of the models that overload their engines."""
-    grown = False
-    for _ in range(MOST_GROWTH):
-        over = [e for e in state.engines if e.share > GROW_ABOVE]
-        if not over:
-            break
-        added = any(
-            _relieve(state, engine)
-            for engine in sorted(over, key=lambda e: -e.share)
+    idle = {
+        name: sorted(
+            (e for e in pool if e.share < GROW_ABOVE),
+            key=lambda e: (not e.want, e.far, e.share, e.target.name),
         )
-        if not added:
+        for name, pool in state.pools.items()
+    }
+    over = [e for e in state.engines if e.share > GROW_ABOVE]
+    over.sort(key=lambda e: (-e.share, e.target.name))
+    added = futile = 0
+    for engine in over:
+        if futile >= MOST_FUTILE:
             break
-        grown = True
-        state.assign()
-    return grown
+        while engine.share > GROW_ABOVE and added < MOST_GROWTH:
+            model = _relieve(state, engine, idle[engine.target.pool])
+            if model is None:
+                futile += 1
+                break
+            state.spread(model)
+            added += 1
+    return added > 0
 
 
-def _relieve(state: Round, engine: EngineState) -> bool:
+def _relieve(
+    state: Round, engine: EngineState, idle: list[EngineState]
+) -> str | None:
     """Adds the copy that pays most for one overloaded engine."""
     best: tuple[float, str, EngineState, float] | None = None
     excess = engine.load - GROW_ABOVE * engine.rate
     for model in engine.want:
         tokens = state.tokens[model] / len(state.copies[model])
-        found = state.candidates(model) if tokens > 0 else []
-        if not found:
+        if tokens <= 0:
+            continue
+        found = itertools.islice(state.candidates(model, idle), MOST_COMPARED)
+        other = min(found, key=lambda e: state.rank(e, model), default=None)
+        if other is None:
             continue
-        other = min(found, key=lambda e: state.rank(e, model))
         moved = min(
             tokens / 2, excess, max(0.0, GROW_ABOVE * other.rate - other.load)
         )
@@ -118,10 +132,10 @@
         if gain > 0 and (best is None or gain > best[0]):
             best = gain, model, other, saved
     if best is None:
-        return False
+        return None
     _, model, other, saved = best
     state.add(other, model, f"overload of {engine.target.name}", saved)
-    return True
+    return model
 
 
 def _shrink(state: Round) -> None:
@@ -239,7 +253,7 @@
             while len(copies) > goal and not state.is_last(copies[-1], model):
                 state.drop(copies[-1], model, "above its share")
             while len(copies) < goal and added < MOST_GROWTH:
-                found = state.candidates(model)
+                found = list(state.candidates(model))
                 if not found:
                     break
                 best = min(found, key=lambda e: (len(e.want), e.target.name))
@@ -253,7 +267,7 @@
     lost = [m for m in state.used if not state.copies[m]]
     known = [m for m in lost if m in state.models]
     for model in sorted(known, key=lambda m: (-state.models[m].weights_mb, m)):
-        found = state.candidates(model)
+        found = list(state.candidates(model))
         if found:
             best = min(found, key=lambda e: (-e.free_mb, e.target.name))
             state.add(best, model, "no copy of a model in use")
--- a/carobsail/planning.py
+++ b/carobsail/planning.py
@@ -1,13 +1,15 @@
 """State of one planning round: the inputs and the wanted state."""
 
 import dataclasses
-from collections.abc import Collection, Mapping
+import itertools
+from collections.abc import Collection, Iterator, Mapping
 
 from carobsail import errors, inventory, messages, orders
 from carobsail.demand import Demand
 
 GROW_ABOVE = 0.6  # Share of an engine's token rate; queues grow above it.
 FORECAST_S = 60.0  # Time that a load takes to help, with its queue.
+MOST_COMPARED = 16  # Engines compared for one copy; bounds a round's cost.
 MIXED_ROLE = "mixed"
 NO_DEMAND = Demand(0.0, 0.0)
 
@@ -130,6 +132,7 @@
             self.pools.setdefault(engine.target.pool, []).append(engine)
         self.copies: dict[str, list[EngineState]] = {m: [] for m in self.used}
         self.moves: list[Move] = []
+        self._parts: dict[str, list[tuple[EngineState, float]]] = {}
         self.shrunk_at = previous.shrunk_at if previous else float("-inf")
         self.tokens = {
             model: demand.get(model, NO_DEMAND).forecast_tokens_per_s(
@@ -162,6 +165,8 @@
 
     def held_mb(self, engine: EngineState) -> int:
         """Memory of resident models that must stay until a copy is ready."""
+        if engine.resident.keys() <= engine.want.keys():
+            return 0
         return sum(
             mb
             for model, mb in engine.resident.items()
@@ -204,10 +209,21 @@
         name = engine.target.name
         self.moves.append(Move(name, model, False, reason))
 
-    def candidates(self, model: str) -> list[EngineState]:
-        """Engines that may run a model and have room for it."""
-        pool = self.pools.get(self.models[model].pool, [])
-        return [e for e in pool if self.fits(e, model)]
+    def candidates(
+        self, model: str, engines: list[EngineState] | None = None
+    ) -> Iterator[EngineState]:
+        """Engines that may run a model and have room for it.
+
+        Args:
+          model: Model name.
+          engines: Engines of the model's pool to look at; all by default.
+        """
+        if engines is None:
+            engines = self.pools.get(self.models[model].pool, [])
+        needed_mb = self.models[model].weights_mb
+        for engine in engines:
+            if needed_mb <= engine.free_mb and self.fits(engine, model):
+                yield engine
 
     def assign(self) -> None:
         """Spreads each model's tokens over its copies.
@@ -216,14 +232,23 @@
         """
         for engine in self.engines:
             engine.load = 0.0
+        self._parts.clear()
         for model in sorted(self.used, key=lambda m: len(self.copies[m])):
-            copies = self.copies[model]
-            if not copies or not self.tokens[model]:
-                continue
-            room = [max(1e-6, GROW_ABOVE * e.rate - e.load) for e in copies]
-            total = sum(room)
-            for engine, part in zip(copies, room, strict=True):
-                engine.load += self.tokens[model] * part / total
+            self.spread(model)
+
+    def spread(self, model: str) -> None:
+        """Spreads one model's tokens over its copies anew."""
+        for engine, part in self._parts.pop(model, ()):
+            engine.load -= part
+        copies, tokens = self.copies[model], self.tokens[model]
+        if not copies or not tokens:
+            return
+        room = [max(1e-6, GROW_ABOVE * e.rate - e.load) for e in copies]
+        factor = tokens / sum(room)
+        parts = [(e, factor * r) for e, r in zip(copies, room, strict=True)]
+        for engine, part in parts:
+            engine.load += part
+        self._parts[model] = parts
 
     def recover(self) -> None | errors.Failure:
         """Places each used model that has no copy; the largest first."""
@@ -233,8 +258,15 @@
             reason = errors.Reason.UNKNOWN_MODEL
             return _refuse(reason, f"not in the inventory: {unknown[0]}")
         lost.sort(key=lambda m: (-self.models[m].weights_mb, m))
+        ordered = {
+            name: sorted(pool, key=lambda e: (not e.want, e.far, e.target.name))
+            for name, pool in self.pools.items()
+        }
         for model in lost:
-            found = self.candidates(model) or self._after_drops(model)
+            engines = ordered.get(self.models[model].pool, [])
+            fitting = self.candidates(model, engines)
+            found = list(itertools.islice(fitting, MOST_COMPARED))
+            found = found or self._after_drops(model)
             if not found:
                 mb = self.models[model].weights_mb
                 return _refuse(
