Add shares of the weight store's load budget

Change: shares in one key-value value, renewed by compare-and-swap and read back; a holder counts from before its read, others reuse after validity and margin. Permits put recovery loads first. A renewal names the revision that it replaced: with a plain counter the state machine found a dropped and renewed share taken for an old one (10 of 9 loads).

--- /dev/null
+++ b/carobsail/weightstore.py
@@ -0,0 +1,225 @@
+"""Load budget of the weight store, shared between data centres.
+
+The shares stand in one key-value value. Each data centre renews its own
+share. No clock is shared: a holder counts the validity from before it sent
+the renewal, and others reuse a share only after the validity and a margin
+have passed on their own clock since they last saw a renewal.
+"""
+
+import asyncio
+
+import msgspec
+
+from carobsail import errors, inventory, keyvalue
+
+SHARES_KEY = "/carobsail/store-shares"
+VALIDITY_S = 30.0
+RENEWAL_INTERVAL_S = 10.0
+REUSE_MARGIN_S = 5.0  # Covers clock drift and an order just being sent.
+RECOVERY_PRIORITY_S = 5.0
+MOST_ATTEMPTS = 5
+
+
+class Share(msgspec.Struct, frozen=True):
+    """Share of one data centre.
+
+    Attributes:
+      loads_per_s: Loads that it may start a second.
+      loads_at_once: Loads that it may have under way.
+      wanted_at_once: Loads that it would like to have under way.
+      replaced: Revision of the value that the renewal replaced; it differs
+        at each renewal, even after the share was dropped and taken again.
+      valid_s: Validity in seconds, counted as the module describes.
+    """
+
+    loads_per_s: float = 0.0
+    loads_at_once: int = 0
+    wanted_at_once: int = 0
+    replaced: int = 0
+    valid_s: float = VALIDITY_S
+
+
+class ShareBook:
+    """Decides on the share of one data centre from the stored shares."""
+
+    __slots__ = ("_data_centre", "_seen", "_store", "_valid_until", "held")
+
+    def __init__(self, data_centre: str, store: inventory.WeightStore) -> None:
+        self._data_centre = data_centre
+        self._store = store
+        self._seen: dict[str, tuple[int, float]] = {}
+        self._valid_until = float("-inf")
+        self.held = Share()
+
+    def share(self, now: float) -> Share:
+        """Returns the share that may be used now."""
+        return self.held if now < self._valid_until else Share()
+
+    def propose(
+        self,
+        stored: dict[str, Share],
+        revision: int,
+        wanted: int,
+        in_flight: int,
+        now: float,
+    ) -> dict[str, Share]:
+        """Returns the shares to write, with a renewed own share.
+
+        Args:
+          stored: The stored shares.
+          revision: Revision of the stored value.
+          wanted: Loads that this data centre would like to have under way.
+          in_flight: Loads that it has under way; the share covers them.
+          now: Seconds of the loop's clock, taken before the read was sent.
+        """
+        others = {
+            name: share
+            for name, share in stored.items()
+            if name != self._data_centre and self._counts(name, share, now)
+        }
+        limit = self._store.loads_at_once
+        free = limit - sum(s.loads_at_once for s in others.values())
+        wanting = sum(s.wanted_at_once > 0 for s in others.values())
+        fair = max(1, limit // (wanting + 1))
+        starving = any(
+            s.loads_at_once < min(s.wanted_at_once, fair)
+            for s in others.values()
+        )
+        goal = min(wanted, fair) if starving else wanted
+        at_once = max(0, min(max(goal, in_flight), free))
+        rate_free = self._store.loads_per_s - sum(
+            s.loads_per_s for s in others.values()
+        )
+        rate = self._store.loads_per_s * at_once / max(1, limit)
+        own = Share(
+            max(0.0, min(rate, rate_free)),
+            at_once,
+            wanted,
+            revision,
+        )
+        return others | {self._data_centre: own}
+
+    def _counts(self, name: str, share: Share, now: float) -> bool:
+        """Tells whether another's share may still be in use."""
+        replaced, seen_at = self._seen.get(name, (-1, now))
+        if replaced != share.replaced:
+            seen_at = now
+        self._seen[name] = (share.replaced, seen_at)
+        return now < seen_at + share.valid_s + REUSE_MARGIN_S
+
+    def sending(self, own: Share) -> None:
+        """Gives up at once what the share about to be written lacks.
+
+        The write may take effect although its answer is lost.
+        """
+        self.held = Share(
+            min(self.held.loads_per_s, own.loads_per_s),
+            min(self.held.loads_at_once, own.loads_at_once),
+        )
+
+    def written(self, own: Share, sent_at: float) -> None:
+        """Holds a share whose write took effect."""
+        self.held = own
+        self._valid_until = sent_at + own.valid_s
+
+
+class ShareClient:
+    """Renews the share of one data centre in the key-value service."""
+
+    __slots__ = ("_data_centre", "_key_value", "book")
+
+    def __init__(
+        self,
+        data_centre: str,
+        store: inventory.WeightStore,
+        key_value: keyvalue.KeyValueClient,
+    ) -> None:
+        self._data_centre = data_centre
+        self._key_value = key_value
+        self.book = ShareBook(data_centre, store)
+
+    async def renew(self, wanted: int, in_flight: int) -> None | errors.Failure:
+        """Renews the share; call it every `RENEWAL_INTERVAL_S`."""
+        for _ in range(MOST_ATTEMPTS):
+            sent_at = asyncio.get_running_loop().time()
+            found = await self._read()
+            if isinstance(found, errors.Failure):
+                return found
+            revision, stored = found
+            shares = self.book.propose(
+                stored, revision, wanted, in_flight, sent_at
+            )
+            own = shares[self._data_centre]
+            self.book.sending(own)
+            result = await self._key_value.transact(
+                [keyvalue.Compare(SHARES_KEY, revision)],
+                [keyvalue.Put(SHARES_KEY, msgspec.json.encode(shares))],
+            )
+            if isinstance(result, errors.Failure):
+                if result.outcome is errors.Outcome.NOT_RUN:
+                    return result
+                # Only this data centre writes its own share.
+                found = await self._read()
+                if isinstance(found, errors.Failure):
+                    return found
+                if found[1].get(self._data_centre) != own:
+                    continue
+            elif not result.succeeded:
+                continue
+            self.book.written(own, sent_at)
+            return None
+        return errors.Failure(
+            errors.Reason.CONFLICT,
+            errors.Step.KEY_VALUE,
+            SHARES_KEY,
+            detail=f"{MOST_ATTEMPTS} writes met other writers",
+        )
+
+    async def _read(self) -> tuple[int, dict[str, Share]] | errors.Failure:
+        found = await self._key_value.range(SHARES_KEY)
+        if isinstance(found, errors.Failure):
+            return found
+        for value in found.values:
+            if value.key == SHARES_KEY:
+                shares = msgspec.json.decode(value.value, type=dict[str, Share])
+                return value.mod_revision, shares
+        return 0, {}
+
+
+class LoadPermits:
+    """Permits for model loads within the share, recovery loads first."""
+
+    __slots__ = ("_book", "_started_at", "_wanted_recovery_at", "in_flight")
+
+    def __init__(self, book: ShareBook) -> None:
+        self._book = book
+        self._started_at = float("-inf")
+        self._wanted_recovery_at = float("-inf")
+        self.in_flight = 0
+
+    def try_acquire(self, now: float, recovery: bool = False) -> bool:
+        """Takes a permit to start one load now.
+
+        Args:
+          now: Seconds of the loop's clock.
+          recovery: Whether the load brings back a model without a copy.
+            While such loads wait, others get no permit.
+        """
+        waiting = now < self._wanted_recovery_at + RECOVERY_PRIORITY_S
+        if waiting and not recovery:
+            return False
+        share = self._book.share(now)
+        free = self.in_flight < share.loads_at_once
+        if free and share.loads_per_s * (now - self._started_at) >= 1.0:
+            self._started_at = now
+            self.in_flight += 1
+            if recovery:
+                self._wanted_recovery_at = float("-inf")
+            return True
+        if recovery:
+            self._wanted_recovery_at = now
+        return False
+
+    def release(self) -> None:
+        """Gives back the permit of a load that ended."""
+        self.in_flight -= 1
