--- a/carobsail/controller.py
+++ b/carobsail/controller.py
@@ -11,7 +11,7 @@
     membership,
     messages,
     peers,
-    planning,
+    planbook,
     relay,
     telemetry,
     term,
@@ -58,8 +58,8 @@
         inventory_source: term.InventorySource,
         connect: peers.Connect,
         rng: random.Random,
-        planner: planning.Planner | None = None,
-        render: planning.Render = lambda documents: [],
+        planner: planbook.Planner | None = None,
+        render: planbook.Render = lambda documents: [],
         calls_per_s: float = DEFAULT_CALLS_PER_S,
     ) -> None:
         """Creates a stopped controller.
--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -15,7 +15,7 @@
     membership,
     messages,
     ownership,
-    planning,
+    planbook,
     relay,
     residency,
 )
@@ -46,7 +46,7 @@
       links: Present link by process.
       set_peers: Sets the addresses to keep links to.
       planner: Placement policy.
-      render: planning.Renders policies from configuration documents.
+      render: Renders policies from configuration documents.
       rng: Source of jitter and tokens.
       calls_per_s: Key-value call budget of the data centre.
       instance: Own instance.
@@ -60,8 +60,8 @@
     state: relay.ConfigurationState
     links: dict[membership.Process, peer_links.Link]
     set_peers: Callable[[Sequence[str]], None]
-    planner: planning.Planner | None
-    render: planning.Render
+    planner: planbook.Planner | None
+    render: planbook.Render
     rng: random.Random
     calls_per_s: float
     instance: str
@@ -106,7 +106,7 @@
         self.book = ownership.OwnershipBook()
         self.relay = relay.Relay(context.state)
         self.inventory: inventory.Inventory | None = None
-        self.plans = planning.PlanBook(context.planner, context.render)
+        self.plans = planbook.PlanBook(context.planner, context.render)
         centre, service = context.data_centre, context.key_value
         self._store = ownership.OwnershipStore(centre, service, context.rng)
         self._applied = relay.AppliedWriter(centre, service)
