--- a/carobsail/operations.py
+++ b/carobsail/operations.py
@@ -15,6 +15,10 @@
 # etcd allows 128 operations in a transaction; conditions count as well.
 MAX_CHANGES = 60
 TRY_S = 15.0
+# Written with each account, compared with each template: without it, an
+# account and its template could change at once and not fit each other.
+# Outside the prefix of the documents, so that nobody relays it.
+USERS = "/carobsail/template-users/"
 RETRY_S = 0.5
 
 
@@ -152,6 +156,10 @@
       seen: Revision that the operator saw; None for the present one.
       listed: Inventory in which models, adapters and services must exist.
     """
+    # Read before the documents, so that no account can change in between.
+    users = await _read_users(client, documents)
+    if isinstance(users, Result):
+        return users
     stored = await read(client)
     if isinstance(stored, Result):
         return stored
@@ -179,13 +187,42 @@
         )
         for key in watched
     ]
-    writes: list[keyvalue.Put | keyvalue.Delete] = []
+    compares += [
+        keyvalue.Compare(USERS + name, revision)
+        for name, revision in users.items()
+        if configuration.TEMPLATES + name in changed
+    ]
+    encoded = msgspec.json.encode(metadata)
+    writes: list[keyvalue.Put | keyvalue.Delete] = [
+        keyvalue.Put(USERS + key.removeprefix(configuration.TEMPLATES), encoded)
+        for key in sorted(_templates_of(changed))
+    ]
     for key, document in changed.items():
         tagged = msgspec.structs.replace(document, metadata=metadata)
         writes.append(keyvalue.Put(key, configuration.encode_document(tagged)))
     return await _commit(client, compares, writes, changed, metadata)
 
 
+async def _read_users(
+    client: keyvalue.KeyValueClient, documents: Documents
+) -> dict[str, int] | Result:
+    """Reads when an account of each template was last changed (0: never)."""
+    names = [
+        document.name
+        for document in documents.values()
+        if isinstance(document, configuration.Template)
+    ]
+    if not names:
+        return {}
+    result = await client.transact(
+        [keyvalue.Compare(USERS + name, 0) for name in names], []
+    )
+    if isinstance(result, errors.Failure):
+        return Result(Status.UNAVAILABLE, (str(result),))
+    found = {value.key: value.mod_revision for value in result.current}
+    return {name: found.get(USERS + name, 0) for name in names}
+
+
 async def _commit(
     client: keyvalue.KeyValueClient,
     compares: list[keyvalue.Compare],
@@ -288,6 +325,8 @@
 
 
 def _metadata(value: keyvalue.KeyValue) -> configuration.Metadata:
+    if value.key.startswith(USERS):
+        return msgspec.json.decode(value.value, type=configuration.Metadata)
     document = configuration.parse_document(value.value)
     if isinstance(document, errors.Failure):
         return configuration.Metadata()
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -22,6 +22,11 @@
     And ada applies due_ms 3000
     Then ada ends with CONFLICT naming ben
 
+  Scenario: An account changes under its template's change
+    When ada lowers the maximum to 2500 while ben commits due_ms 4000
+    Then ada ends with CONFLICT naming ben
+    And the stored due_ms is 4000
+
   Scenario: The response is lost after the change took effect
     Given the next response of the key-value service is lost
     When ada applies due_ms 3000
--- a/tests/test_configuration_feature.py
+++ b/tests/test_configuration_feature.py
@@ -111,6 +111,14 @@
     world.apply("ben", template)
 
 
+@when("ada lowers the maximum to 2500 while ben commits due_ms 4000")
+def _(world):
+    template = build.template()
+    template["parameters"][0]["maximum"] = 2500
+    world.service.before = lambda: world.change("ben", _account(4000))
+    world.apply("ada", template)
+
+
 @when("ada applies due_ms 3000 while ben commits due_ms 4000")
 def _(world):
     world.service.before = lambda: world.change("ben", _account(4000))
