Share equal operations, and check plans against the inventory

Accounts of one template mostly render the same operations, and each kept its own copies; equal ones are now one object (least recently used 4096 are remembered). plan passed over models that apply rejects; it now takes the inventory as well.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -47,7 +47,7 @@
     ).encode()
 
 
-def _documents(accounts: int) -> dict[str, bytes]:
+def _documents(accounts: int, deadlines: int) -> dict[str, bytes]:
     found = {
         f"{configuration.TEMPLATES}template-{i}": json.dumps(
             _template(f"template-{i}")
@@ -56,7 +56,7 @@
     }
     for i in range(accounts):
         key = f"{configuration.ACCOUNTS}account-{i}"
-        found[key] = _account(i, 1000 + i)
+        found[key] = _account(i, 1000 + i % deadlines)
     return found
 
 
@@ -71,9 +71,18 @@
     return result
 
 
+def _bytes_per_account(accounts: int, deadlines: int) -> int:
+    documents: dict[str, bytes | None] = {**_documents(accounts, deadlines)}
+    tracemalloc.start()
+    kept = _apply(configuration.ConfigurationSet(), 1, documents)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return round(memory / len(kept.accounts))
+
+
 def measure(accounts: int) -> dict[str, Any]:
     """Measures one number of accounts."""
-    documents: dict[str, bytes | None] = {**_documents(accounts)}
+    documents: dict[str, bytes | None] = {**_documents(accounts, accounts)}
     start = time.perf_counter()
     built = _apply(configuration.ConfigurationSet(), 1, documents)
     full_s = time.perf_counter() - start
@@ -94,18 +103,15 @@
         built.authenticate(str(accounts - 1))
     authenticate_us = (time.perf_counter() - start) * 1000
     del built, again
-    tracemalloc.start()
-    kept = _apply(configuration.ConfigurationSet(), 1, documents)
-    memory = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
     return {
-        "accounts": len(kept.accounts),
+        "accounts": accounts,
         "full_ms": round(full_s * 1000, 1),
         "change_median_ms": round(statistics.median(times_ms), 3),
         "change_max_ms": round(max(times_ms), 3),
         "snapshot_40_changed_ms": round(snapshot_ms, 2),
         "authenticate_us": round(authenticate_us, 2),
-        "bytes_per_account": round(memory / accounts),
+        "bytes_all_deadlines_differ": _bytes_per_account(accounts, accounts),
+        "bytes_20_deadlines": _bytes_per_account(accounts, 20),
     }
 
 
--- a/carobsail/ctl.py
+++ b/carobsail/ctl.py
@@ -132,7 +132,7 @@
             documents = operations.load(map(str, files))
             if isinstance(documents, Result):
                 return documents
-            return await operations.plan(client, documents)
+            return await operations.plan(client, documents, listed)
 
         return self._pending(show)
 
--- a/carobsail/operations.py
+++ b/carobsail/operations.py
@@ -118,13 +118,17 @@
     )
 
 
-async def plan(client: keyvalue.KeyValueClient, documents: Documents) -> Result:
+async def plan(
+    client: keyvalue.KeyValueClient,
+    documents: Documents,
+    listed: inventory.Inventory | None = None,
+) -> Result:
     """Shows what `apply` would change; its revision is for `--seen`."""
     stored = await read(client)
     if isinstance(stored, Result):
         return stored
     changed = _changed(stored, documents)
-    invalid = _problems(stored, changed, None)
+    invalid = _problems(stored, changed, listed)
     if invalid:
         return Result(Status.INVALID, tuple(invalid), stored.revision)
     lines: list[str] = []
--- a/carobsail/templates.py
+++ b/carobsail/templates.py
@@ -1,6 +1,7 @@
 """Templates, client accounts and the rendering of policies from them."""
 
 import enum
+import functools
 import json
 from collections.abc import Mapping
 from typing import Annotated, Any, Literal
@@ -298,10 +299,17 @@
     else:
         problem = _operations_problem(policy.operations)
         if not problem:
+            policy.operations[:] = map(_share, policy.operations)
             return policy
     return invalid(name, f'{problem} (in template "{template.name}")')
 
 
+@functools.lru_cache(maxsize=4096)
+def _share(operation: Operation) -> Operation:
+    """Returns one object for equal operations of many accounts."""
+    return operation
+
+
 def _operations_problem(operations: list[Operation]) -> str:
     for i, operation in enumerate(operations):
         path = f"operations[{i}]"
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -107,11 +107,10 @@
     template = build.template()
     template["account"]["models"] = ["lost"]
     (work / "t.json").write_text(json.dumps(template))
-    code, shown = _run(capsys, "apply", "t.json")
-    assert (code, shown) == (
-        1,
-        'accounts/valtellina: "models": no model "lost"\n',
-    )
+    for command in ("plan", "apply"):
+        code, shown = _run(capsys, command, "t.json")
+        lost = 'accounts/valtellina: "models": no model "lost"\n'
+        assert (code, shown) == (1, lost)
 
 
 @pytest.mark.parametrize(
