--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -6,6 +6,7 @@
 import random
 import sys
 import time
+from typing import Annotated
 
 import fire
 import msgspec
@@ -22,6 +23,8 @@
     messages,
     operatorport,
     peers,
+    planner,
+    planning,
     policies,
     settings,
     signals,
@@ -39,6 +42,21 @@
 ]
 
 
+Cost = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class PlacementWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the placement weighs; only the ratio matters.
+
+    Attributes:
+      late: Cost of one late answer.
+      load: Cost of one model load.
+    """
+
+    late: Cost = 1.0
+    load: Cost = 10.0
+
+
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of `carobsail-control`.
 
@@ -52,6 +70,9 @@
       peer_secrets: Shared secrets; the first is current, others are accepted.
       statsd: `host:port` of the statsd server; empty for none.
       calls_per_s: Key-value call budget of the data centre.
+      placement_policy: Name of the placement policy.
+      copies: Copies of each model in use, where memory allows.
+      weights: What late answers and loads cost.
     """
 
     instance: str
@@ -63,6 +84,9 @@
     peer_secrets: list[str]
     statsd: str = ""
     calls_per_s: float = controller.DEFAULT_CALLS_PER_S
+    placement_policy: str = "demand_aware"
+    copies: Annotated[int, msgspec.Meta(ge=1, le=8)] = planner.DEFAULT_COPIES
+    weights: PlacementWeights = PlacementWeights()
 
 
 class _Rendering:
@@ -148,6 +172,14 @@
         source.fetch,
         connect,
         random.Random(os.urandom(16)),
+        placing=planner.DataCentrePlanner(
+            loaded.data_centre,
+            planning.Weights(
+                late=loaded.weights.late, load=loaded.weights.load
+            ),
+            loaded.placement_policy,
+            loaded.copies,
+        ),
         render=_Rendering(),
         calls_per_s=loaded.calls_per_s,
     )
--- a/carobsail/controller.py
+++ b/carobsail/controller.py
@@ -58,7 +58,7 @@
         inventory_source: term.InventorySource,
         connect: peers.Connect,
         rng: random.Random,
-        planner: planbook.Planner | None = None,
+        placing: planbook.Planner | None = None,
         render: planbook.Render = lambda documents: [],
         calls_per_s: float = DEFAULT_CALLS_PER_S,
     ) -> None:
@@ -70,7 +70,7 @@
           inventory_source: Fetches the platform's inventory document.
           connect: Connects to a peer's address.
           rng: Source of jitter and tokens.
-          planner: Placement policy; None sends no plans.
+          placing: Placement of engines; None sends no plans.
           render: Renders policies from configuration documents.
           calls_per_s: Key-value call budget of the data centre.
         """
@@ -98,7 +98,7 @@
             self.state,
             self.links,
             self._peer_set.set_addresses,
-            planner,
+            placing,
             render,
             rng,
             calls_per_s,
@@ -163,6 +163,7 @@
             ],
             "epoch": leading.book.epoch if leading else 0,
             "owners": leading.book.owners if leading else {},
+            "placement": leading.dump() if leading else {},
         }
 
     @property
--- a/carobsail/demand.py
+++ b/carobsail/demand.py
@@ -55,3 +55,27 @@
     def demand(self) -> Demand:
         """Returns the present demand."""
         return Demand(self._requests, self._tokens, self._trend)
+
+
+class DemandCounter:
+    """Counts what was asked of one instance between two reports."""
+
+    __slots__ = ("_asked", "_since")
+
+    def __init__(self, now: float) -> None:
+        self._asked: dict[str, tuple[int, float]] = {}
+        self._since = now
+
+    def count(self, model: str, tokens: float) -> None:
+        """Counts one request with its expected output tokens."""
+        requests, total = self._asked.get(model, (0, 0.0))
+        self._asked[model] = (requests + 1, total + tokens)
+
+    def take(self, now: float) -> dict[str, tuple[float, float]]:
+        """Returns requests and tokens a second since the last call."""
+        elapsed_s = max(1e-3, now - self._since)
+        asked, self._asked, self._since = self._asked, {}, now
+        return {
+            model: (requests / elapsed_s, tokens / elapsed_s)
+            for model, (requests, tokens) in asked.items()
+        }
--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -157,6 +157,10 @@
         self.version = version
         self.listed = listed
         self.listed = listed
+        own_instances = [
+            i for i in listed.instances if i.data_centre == self.data_centre
+        ]
+        self._reported.set_senders(len(own_instances))
         self._adapters = {a.name: a for a in listed.adapters}
         self._models = {m.name: m for m in listed.models}
         self.adapter_models = {a.name: a.model for a in listed.adapters}
@@ -177,12 +181,19 @@
         return listed.weights_mb if listed else None
 
     def has_other_copy(self, model: str, target: str) -> bool:
-        """Tells whether another target of the data centre serves a model."""
-        return any(
+        """Tells whether a model is reachable without a target.
+
+        A copy in another data centre counts: a model's home data centre
+        keeps its copy whatever the others do.
+        """
+        near = any(
             model in self._served(other)
             for name, other in self._targets.items()
             if name != target
         )
+        return near or any(
+            remote.models.get(model) for remote in self._remotes.values()
+        )
 
     def report(self, owner: str, loads: messages.Loads, now: float) -> None:
         """Takes over the loads that an owner reports."""
--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -218,14 +218,14 @@
             )
         return sorted(found - self.orders.leaving)
 
-    def progress(self, demand: dict[str, float]) -> messages.TargetProgress:
+    def progress(self) -> messages.TargetProgress:
         """See base class."""
         book = self.orders.ledger
         resident = self.models()
         held = book.intents()
         reserved = sorted(set(held) - set(resident))
         return messages.TargetProgress(
-            self._target.name, resident, reserved, demand
+            self._target.name, resident, reserved, self._runner.healthy
         )
 
     def want(self, plan: messages.TargetPlan) -> None:
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -15,6 +15,7 @@
     claimrouting,
     clients,
     configuration,
+    demand,
     directory,
     dispatcher,
     enginememory,
@@ -107,6 +108,7 @@
         self.suspects = suspects.SuspectBook(around.hello.instance)
         self.dispatcher = dispatcher.Dispatcher()
         self._adapter_loads = adapters.LoadsInFlight(1)
+        self.demand = demand.DemandCounter(_now())
         self.owned = ownedtargets.OwnedTargets(
             self.dispatcher, self.grants, self._new_runner, self._new_engine
         )
@@ -129,7 +131,7 @@
         self._leaving = False
         self._last_loads: dict[str, messages.TargetLoad] = {}
         self._last_progress: dict[str, messages.TargetProgress] = {}
-        self._demand: dict[str, int] = {}
+        self._had_demand = False
 
     def _build_callers_side(self) -> None:
         around, instance = self._around, self.hello.instance
@@ -160,6 +162,7 @@
             self.policy,
             self.links,
             receivers,
+            self.demand,
             around.metrics,
             around.rng,
         )
@@ -327,7 +330,8 @@
             case messages.Failed():
                 self.links.receive_answer(link, message)
             case messages.Dispatch():
-                self._count_demand(message.model)
+                if not message.target and message.model:
+                    self.demand.count(message.model, message.output_tokens)
                 self.links.receive_dispatch(link, message)
             case messages.Cancel():
                 self.dispatcher.cancel(message.attempt)
@@ -485,18 +489,19 @@
             update = messages.Loads(self._seq, False, changed + busy)
             self.links.broadcast(update)
 
-    def _count_demand(self, model: str) -> None:
-        if model:
-            self._demand[model] = self._demand.get(model, 0) + 1
-
     def _report_progress(self) -> None:
+        asked = self.demand.take(_now())
+        changed = []
         for target, engine in self.owned.engines.items():
-            entry = engine.progress({})
-            if entry == self._last_progress.get(target):
-                continue
-            self._last_progress[target] = entry
+            entry = engine.progress()
+            if entry != self._last_progress.get(target):
+                self._last_progress[target] = entry
+                changed.append(entry)
+        if changed or asked or self._had_demand:
+            report = messages.Progress(self.grants.epoch, changed, asked)
             for link in self._control.values():
-                link.offer(messages.Progress(self.grants.epoch, [entry]))
+                link.offer(report)
+        self._had_demand = bool(asked)
 
     async def _read_cache_events(self) -> None:
         while True:
--- a/carobsail/estimation.py
+++ b/carobsail/estimation.py
@@ -219,6 +219,10 @@
             collections.OrderedDict()
         )
 
+    def set_senders(self, senders: int) -> None:
+        """Sets the number of instances that route."""
+        self._senders = max(1, senders)
+
     def report(
         self, target: str, in_flight: int, queued_tokens: int, now: float
     ) -> None:
--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -10,6 +10,7 @@
 
 from carobsail import (
     attempts,
+    demand,
     directory,
     errors,
     estimation,
@@ -78,6 +79,7 @@
     """
 
     __slots__ = (
+        "_asked",
         "_budget",
         "_directory",
         "_lengths",
@@ -97,6 +99,7 @@
         policy: routing.RoutingPolicy,
         transport: Transport,
         receivers: attempts.Receivers,
+        asked: demand.DemandCounter,
         metrics: telemetry.Metrics,
         rng: random.Random,
     ) -> None:
@@ -108,10 +111,12 @@
           policy: Routing policy.
           transport: Sends attempts.
           receivers: Receives their answers.
+          asked: Counts the demand for models.
           metrics: Counts and timings.
           rng: Source of the backoff's jitter.
         """
         self.receivers = receivers
+        self._asked = asked
         self._prefix = prefix
         self._directory = targets
         self._policy = policy
@@ -145,6 +150,9 @@
         """
         account = subject.request.policy.account
         self._budget.count_request(account)
+        request = subject.request
+        if request.model:
+            self._asked.count(request.model, self._expect(request))
         excluded: set[str] = set()
         while True:
             result = await self._attempt(subject, frozenset(excluded), delivery)
@@ -272,6 +280,9 @@
             idempotent=subject.idempotent,
             fingerprint=request.fingerprint,
             service=request.operation.service,
+            first_token_in_s=due_in_s
+            - request.due_s
+            + request.operation.first_token_ms / 1000,
         )
 
     async def _exchange(
--- /dev/null
+++ b/carobsail/homes.py
@@ -0,0 +1,100 @@
+"""Home engines of models: where each model in use is always kept.
+
+Every leader computes the same homes from the same inventory, so data centres
+need no agreement to keep each model somewhere (R2). Leaders add copies for
+demand beside the homes of their own data centre.
+"""
+
+from collections.abc import Mapping
+
+from carobsail import inventory, ownership, planning, policies
+
+
+def count_copies(
+    used_by: list[policies.Policy], default: int
+) -> dict[str, int]:
+    """Returns the copies wanted of each model that a policy uses.
+
+    Args:
+      used_by: Policies of all client accounts.
+      default: Least number of copies of a model in use.
+    """
+    wanted: dict[str, int] = {}
+    for policy in used_by:
+        for model in policy.models:
+            copies = max(default, policy.copies)
+            wanted[model] = max(wanted.get(model, 0), copies)
+    return wanted
+
+
+def assign_homes(
+    listed: inventory.Inventory, copies: Mapping[str, int]
+) -> dict[str, list[inventory.Target]]:
+    """Assigns each model its home engines.
+
+    First copies go before second ones, so that a second copy never takes the
+    room of a model's only one. Further copies go to other data centres if
+    there is room, because a whole data centre can be lost. Ranks come from
+    rendezvous hashing: a lost engine moves only its own models.
+
+    Args:
+      listed: The whole inventory.
+      copies: Copies wanted of each model.
+
+    Returns:
+      The home engines of each model; fewer than wanted when memory is short.
+    """
+    engines = [
+        target
+        for target in listed.targets
+        if target.kind is inventory.Kind.ENGINE
+        and target.state is inventory.State.LIVE
+    ]
+    free_mb = {
+        t.name: t.capacity_mb - t.adapter_pool_mb - t.cache_floor_mb
+        for t in engines
+    }
+    pools: dict[str, list[inventory.Target]] = {}
+    for target in engines:
+        pools.setdefault(target.pool, []).append(target)
+    models = sorted(
+        (m for m in listed.models if planning.model_id(m) in copies),
+        key=lambda m: (-m.weights_mb, m.name),
+    )
+    found: dict[str, list[inventory.Target]] = {
+        planning.model_id(m): [] for m in models
+    }
+    for number in range(1, max(copies.values(), default=0) + 1):
+        for model in models:
+            name = planning.model_id(model)
+            if copies[name] >= number:
+                _add_home(
+                    model, found[name], pools.get(model.pool, []), free_mb
+                )
+    return found
+
+
+def _add_home(
+    model: inventory.Model,
+    chosen: list[inventory.Target],
+    engines: list[inventory.Target],
+    free_mb: dict[str, int],
+) -> None:
+    used = {t.name for t in chosen}
+    centres = {t.data_centre for t in chosen}
+    fitting = [
+        target
+        for target in engines
+        if target.name not in used and free_mb[target.name] >= model.weights_mb
+    ]
+    if not fitting:
+        return
+    best = max(
+        fitting,
+        key=lambda t: (
+            t.data_centre not in centres,
+            ownership.score(model.name, t.name),
+        ),
+    )
+    chosen.append(best)
+    free_mb[best.name] -= model.weights_mb
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -59,6 +59,7 @@
       resume_of: Attempt whose stream is continued, empty for a new request.
       resume_after: Identifier of the last event that was delivered.
       service: Service name, empty for models.
+      first_token_in_s: Seconds left until the first token is due.
     """
 
     attempt: str
@@ -79,6 +80,7 @@
     resume_of: str = ""
     resume_after: str = ""
     service: str = ""
+    first_token_in_s: float = 1e9
 
 
 def with_target(request: Dispatch, target: str) -> Dispatch:
@@ -375,20 +377,28 @@
       target: Engine name.
       resident: Models confirmed resident.
       reserved: Models with a recorded intent that are not confirmed.
-      demand: Requests a second asked per model since the last message.
+      healthy: Whether the engine answers.
     """
 
     target: str
     resident: list[str]
     reserved: list[str]
-    demand: dict[str, float]
+    healthy: bool = True
 
 
 class Progress(Message, tag="progress", frozen=True):
-    """Owner to leader, once a second at most, changes only."""
+    """Entry instance to leader, once a second at most, changes only.
+
+    Attributes:
+      epoch: Epoch of the sender's grant.
+      targets: Engines whose account changed.
+      demand: Requests and output tokens a second of each model that callers
+        or other data centres asked of the sender.
+    """
 
     epoch: int
     targets: list[TargetProgress]
+    demand: dict[str, tuple[float, float]] = {}
 
 
 PeerMessage = (
--- a/carobsail/ownedtargets.py
+++ b/carobsail/ownedtargets.py
@@ -32,7 +32,7 @@
         """Returns the models to which requests may be sent."""
 
     @abc.abstractmethod
-    def progress(self, demand: dict[str, float]) -> messages.TargetProgress:
+    def progress(self) -> messages.TargetProgress:
         """Returns the account of this engine for the leader."""
 
     @abc.abstractmethod
--- a/carobsail/policies.py
+++ b/carobsail/policies.py
@@ -50,6 +50,7 @@
       limits: Rate and concurrency limits.
       priority: Engine priority; lower is more urgent.
       key_hashes: SHA-256 hashes (hexadecimal) of its access keys.
+      copies: Copies of its models that are kept where memory allows.
     """
 
     account: str
@@ -59,6 +60,7 @@
     limits: Limits = Limits()
     priority: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
     key_hashes: list[str] = []
+    copies: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1
 
     def operation(self, method: str, path: str) -> Operation | None:
         """Returns the first operation that matches a request."""
--- a/carobsail/targetrunner.py
+++ b/carobsail/targetrunner.py
@@ -225,17 +225,20 @@
     ) -> errors.Failure | None:
         speed = self._shared.speeds.factor(self.target.name, request.model)
         work = estimation.Work(request.prompt_tokens, request.output_tokens)
-        full = self.work.add(request.attempt, work, speed)
+        due_at = now + request.due_in_s
+        full = self.work.add(request.attempt, work, speed, due_at)
         if full is not None:
             return full
-        service_s = estimation.predict(
+        alone_here = estimation.predict(
             self.target, estimation.Backlog(0, 0.0), work, speed
-        ).finish_s
+        )
         entry = admission.QueueEntry(
             attempt=request.attempt,
             account=request.account,
-            due_at=now + request.due_in_s,
-            service_s=service_s,
+            due_at=due_at,
+            service_s=alone_here.finish_s,
+            first_token_s=alone_here.first_token_s,
+            first_token_due_at=now + request.first_token_in_s,
             alone=alone,
         )
         refused = self._queue.push(entry)
@@ -380,10 +383,11 @@
 
     def load(self, models: list[str]) -> messages.TargetLoad:
         """Returns the target's load for the other instances."""
+        in_flight, queued_tokens = self.work.load(_now())
         return messages.TargetLoad(
             self.target.name,
-            self.in_flight,
-            self.work.queued_tokens(_now()),
+            in_flight,
+            queued_tokens,
             models,
             self.resident_adapters(),
             self.serving,
--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -18,6 +18,7 @@
     planbook,
     relay,
     residency,
+    weightstore,
 )
 from carobsail import links as peer_links
 
@@ -25,6 +26,8 @@
 OWNERSHIP_INTERVAL_S = 0.25
 FLUSH_INTERVAL_S = relay.MESSAGE_INTERVAL_S
 PUBLISH_INTERVAL_S = 1.0
+# A data centre that waits for a share, or could give one back, asks sooner.
+SHORT_SHARE_INTERVAL_S = 2.0
 WATCHED_PREFIX = "/carobsail/"
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
@@ -131,6 +134,7 @@
                 self._assign,
                 self._flush,
                 self._publish,
+                self._renew_share,
             ):
                 group.create_task(duty())
 
@@ -271,6 +275,32 @@
             and target.state is inventory.State.LIVE
         ]
 
+    async def _renew_share(self) -> None:
+        """Keeps the data centre's share of the weight store's budget."""
+        placing = self.plans.planner
+        while placing is not None and self.inventory is None:
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+        if placing is None or self.inventory is None:
+            return
+        client = weightstore.ShareClient(
+            self._context.data_centre,
+            self.inventory.weight_store,
+            self._context.key_value,
+        )
+        placing.use_share(client.book)
+        while True:
+            wanted, in_flight = placing.loads_wanted, placing.loads_in_flight
+            held = client.book.share(self._now()).loads_at_once
+            if self._may_order() and (wanted or held or in_flight):
+                await client.renew(wanted, in_flight)
+                held = client.book.share(self._now()).loads_at_once
+            short = wanted > held or (not wanted and held)
+            await asyncio.sleep(
+                SHORT_SHARE_INTERVAL_S
+                if short
+                else weightstore.RENEWAL_INTERVAL_S
+            )
+
     async def _assign(self) -> None:
         retry_s = OWNERSHIP_INTERVAL_S
         while True:
@@ -400,8 +430,12 @@
                 self.book.handed_back(process.instance, message.epoch)
                 self._proposed_for = None
             case messages.Progress() if message.epoch <= self.book.epoch:
-                self.plans.take(message)
+                self.plans.take(process.instance, message)
         return None
 
+    def dump(self) -> dict[str, object]:
+        """Returns the placement's state for operators."""
+        return self.plans.planner.dump() if self.plans.planner else {}
+
     def _frozen(self) -> bool:
         return self._context.leadership.role == leadership.Role.FROZEN
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 
 from carobsail import (
     attempts,
+    demand,
     directory,
     dispatcher,
     errors,
@@ -109,6 +110,7 @@
         routing.create("least_outstanding", random.Random(1)),
         transport,
         receivers,
+        demand.DemandCounter(0.0),
         telemetry.Metrics(),
         random.Random(1),
     )
