Test burst cap, fair return from idleness and stale crash news

Three of 29 deliberate faults passed the tests: a token bucket without upper bound, a virtual time that never advances, and news of an old run that lowers a crash count. Each now has a test.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -24,6 +24,14 @@
     assert gate.admit("b", "y", LIMITS, 0.0) is None
 
 
+def test_idle_time_saves_up_one_burst_at_most():
+    """Guards R13: a quiet hour followed by an hour's requests at once."""
+    gate = admission.Admission("i1")
+    gate.admit("a", "first", LIMITS, 0.0)
+    admitted = [gate.admit("a", str(n), LIMITS, 3600.0) for n in range(9)]
+    assert admitted.count(None) == LIMITS.burst
+
+
 def test_concurrency_is_freed_by_release_once():
     """Guards R13: repeated ends of one request free several places."""
     limits = configuration.Limits(burst=100, concurrency=2)
@@ -101,6 +109,18 @@
     assert order[0] == "b0"
 
 
+def test_idle_account_saves_up_no_turns():
+    """Guards R13: an account back from a pause takes the whole target."""
+    queue = admission.TargetQueue("e1", 1)
+    for number in range(60):
+        queue.push(build.entry(f"a{number}", "a", due_at=1000.0))
+    started(queue, 30)
+    for number in range(30):
+        queue.push(build.entry(f"b{number}", "b", due_at=1000.0))
+    order = [name[0] for name in started(queue, 20)]
+    assert order.count("b") == pytest.approx(10, abs=1)
+
+
 def test_weight_and_cost_set_the_shares():
     """Guards R13: fair by count lets long requests take the target."""
     queue = admission.TargetQueue("e1", 1)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -57,6 +57,15 @@
         assert book.verdict("x", 1.3) is suspects.Verdict.ALONE
 
 
+def test_late_news_of_an_old_run_does_not_lift_a_refusal():
+    """Guards R13: a run from before the first crash resets the count."""
+    book = suspects.SuspectBook("i1")
+    book.crashed([("x", 0)], 0.0)
+    book.crashed([("x", 1)], 1.0)
+    book.crashed([("x", 0)], 2.0)
+    assert refused(book, "x", 3.0)
+
+
 def test_one_rerun_alone_at_a_time():
     """Guards R13: a suspect takes down several engines at the same moment."""
     book = suspects.SuspectBook("i1")
