--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -85,6 +85,7 @@
         "_applied",
         "_context",
         "_document",
+        "_listed",
         "_loaded",
         "_proposed_for",
         "_residency",
@@ -114,6 +115,7 @@
         self._store = ownership.OwnershipStore(centre, service, context.rng)
         self._applied = relay.AppliedWriter(centre, service)
         self._residency = residency.ResidencyBook(centre, service)
+        self._listed = asyncio.Event()
         self._loaded = False
         self._adopted = False
         self._document = b""
@@ -162,6 +164,7 @@
         if self.inventory and found.version < self.inventory.version:
             return
         self.inventory = found
+        self._listed.set()
         own = [
             i
             for i in found.instances
@@ -278,10 +281,10 @@
     async def _renew_share(self) -> None:
         """Keeps the data centre's share of the weight store's budget."""
         placing = self.plans.planner
-        while placing is not None and self.inventory is None:
-            await asyncio.sleep(FLUSH_INTERVAL_S)
-        if placing is None or self.inventory is None:
+        if placing is None:
             return
+        await self._listed.wait()
+        assert self.inventory is not None
         client = weightstore.ShareClient(
             self._context.data_centre,
             self.inventory.weight_store,
