Add scenarios of orders and placement on virtual time

Change: orders lost, late, doubled or unanswered, a paused owner, an old order at an engine that ignores fencing, a dead engine with the only copy and a refused version change, over the fake engine.

--- /dev/null
+++ b/tests/test_placement_feature.py
@@ -0,0 +1,137 @@
+"""Scenarios of orders and placement on virtual time (R1, R2, R13, R21)."""
+
+import asyncio
+
+import async_solipsism
+import pytest
+from builders_placement import fleet, target
+from fake_engine import FakeEngine
+from pytest_bdd import given, parsers, scenarios, then, when
+from test_orders import SIZES, Cluster, Ownership
+
+from carobsail import demand, errors, inventory, placement, planning
+
+scenarios("placement.feature")
+
+ALL_SIZES = SIZES | {"m1@2": 500}
+
+
+class World:
+    """A cluster on its own loop."""
+
+    def __init__(self):
+        self.loop = async_solipsism.EventLoop()
+        self.cluster = None
+        self.result = None
+
+    def owner(self, name):
+        return self.cluster.owners[int(name[1:]) - 1]
+
+    def engine(self, name):
+        return self.cluster.engines[int(name[1:]) - 1]
+
+    def advance(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@pytest.fixture
+def world():
+    result = World()
+    yield result
+    for task in asyncio.all_tasks(result.loop):
+        task.cancel()
+    result.advance(0)
+    result.loop.close()
+
+
+@given(parsers.re(r"engines e1 and e2 that (?P<verb>check|ignore) .*"))
+def _engines(world, verb):
+    async def build():
+        cluster = Cluster()
+        cluster.engines.clear()
+        for name in ("e1", "e2"):
+            listed = target(name, checks_fencing=verb == "check")
+            used = {"m1", "m2"}
+            FakeEngine(listed, ALL_SIZES, used, cluster.engines)
+        cluster.owners = [Ownership(cluster, e, 1) for e in cluster.engines]
+        for owner in cluster.owners:
+            cluster.start(owner)
+        return cluster
+
+    world.cluster = world.loop.run_until_complete(build())
+
+
+@given(parsers.re(r"(?P<name>e\d) holds (?P<models>.+)"))
+def _loaded(world, name, models):
+    for model in models.split():
+        world.engine(name).models[model] = ALL_SIZES[model]
+    world.owner(name).want(models.split())
+    world.advance(60.0)
+
+
+@when(parsers.re(r"the next order at (?P<name>e\d) is (?P<fate>\w+)"))
+def _fate(world, name, fate):
+    world.engine(name).fates = [(fate, 25.0)]
+
+
+@when(parsers.re(r"(?P<name>e\d) is wanted to hold (?P<models>.+)"))
+def _want(world, name, models):
+    world.owner(name).want(models.split())
+
+
+@when(parsers.parse("{seconds:d} seconds pass"))
+def _pass(world, seconds):
+    world.advance(seconds)
+
+
+@when(parsers.parse("the owner of {name} loses its grant"))
+def _lose_grant(world, name):
+    world.owner(name).granted = False
+
+
+@when(parsers.parse("{name} gets a new owner"))
+def _new_owner(world, name):
+    async def replace():
+        world.cluster.replace(int(name[1:]) - 1)
+
+    world.loop.run_until_complete(replace())
+
+
+@when(parsers.parse("{name} dies"))
+def _die(world, name):
+    world.engine(name).die()
+
+
+@when(parsers.parse("placement plans for {models}"))
+def _plan(world, models):
+    alive = [e for e in world.cluster.engines if e.alive]
+    listed = fleet([e.target for e in alive], SIZES)
+    listed.models.append(inventory.Model("m1", "p", 500, "2"))
+    world.result = placement.plan(
+        listed,
+        {e.target.name: dict(e.models) for e in alive},
+        {m: demand.Demand(1.0, 20.0) for m in models.split()},
+        models.split(),
+        planning.Weights(),
+        None,
+        world.loop.time(),
+    )
+    if not isinstance(world.result, errors.Failure):
+        for plan in world.result.plans:
+            world.owner(plan.target).want(plan.models)
+
+
+@then(parsers.re(r"(?P<name>e\d) holds (?P<models>.+)"))
+def _holds(world, name, models):
+    assert sorted(world.engine(name).models) == models.split()
+
+
+@then(parsers.parse("the plan is refused because {detail}"))
+def _refused(world, detail):
+    assert world.result.reason is errors.Reason.NO_MEMORY
+    assert detail in world.result.detail
+
+
+@then("no invariant was broken")
+def _unbroken(world):
+    assert not [v for e in world.cluster.engines for v in e.violations]
