Answer each claim within 5 s although calls hang

A claim's deadline was checked only between calls, so a service that let lease, guard and claim calls each run into their timeout held a caller for about 12 s, while claim routing waits for 6 s. A timer now answers an overdue claim: unavailable when it was never written (it is then left out of the transaction), unknown otherwise.

--- a/carobsail/claimlease.py
+++ b/carobsail/claimlease.py
@@ -12,7 +12,7 @@
 _HOUR_S = 3600
 # Above the time that the call meter and the gateway client take to give up,
 # because a call cut off here has an unknown outcome.
-CALL_TIMEOUT_S = 5.0
+CALL_TIMEOUT_S = 4.0
 
 
 async def transact(
--- a/carobsail/claimrecords.py
+++ b/carobsail/claimrecords.py
@@ -10,7 +10,8 @@
 
 PREFIX = "/carobsail-claims/"
 MAX_ANSWER_BYTES = 16 * 1024
-CLAIM_TRY_S = 6.0
+# Callers of the writer wait for 6 s.
+CLAIM_TRY_S = 5.0
 # A lost result turns repeats into `unknown`, so results are tried for longer.
 SETTLE_TRY_S = 60.0
 RETRY_AFTER_S = 1.0
@@ -118,6 +119,7 @@
       held: Revision and lease of the claim that a settlement replaces.
       sent: Whether a transaction with it may still take effect.
       answered: Whether it was answered, even if nobody waits any more.
+      timer: Answers a claim that is overdue, whatever call is under way.
     """
 
     __slots__ = (
@@ -128,6 +130,7 @@
         "key",
         "message",
         "sent",
+        "timer",
     )
 
     def __init__(
@@ -143,6 +146,7 @@
         self.held: tuple[int, int] | None = None
         self.sent = False
         self.answered = False
+        self.timer: asyncio.TimerHandle | None = None
 
     @property
     def is_claim(self) -> bool:
--- a/carobsail/claimwriter.py
+++ b/carobsail/claimwriter.py
@@ -97,7 +97,11 @@
         """
         if self._closing or len(self._pending) >= MAX_PENDING:
             return messages.ClaimResult(claim.token, "unavailable")
-        return await self._enqueue(claim).future
+        operation = self._enqueue(claim)
+        operation.timer = asyncio.get_running_loop().call_at(
+            operation.deadline, self._give_up, operation
+        )
+        return await operation.future
 
     async def settle(self, settle: messages.Settle) -> messages.Settled:
         """Records the result of a claimed operation, or releases the claim."""
@@ -216,9 +220,9 @@
                     op for op in self._retries if op not in settles
                 ]
             batch = [op for op in batch if op.is_claim or op.held]
-            batch = [op for op in batch if not op.answered]
-            if not batch:
-                return
+        batch = [op for op in batch if not op.answered]
+        if not batch:
+            return
         for operation in batch:
             operation.sent = True
         result = await claimlease.transact(
@@ -328,6 +332,10 @@
         self._finish(operation, "unknown" if unknown else "unavailable")
 
     def _finish(self, operation: Operation, verdict: str | Record) -> None:
+        if operation.answered:
+            return
+        if operation.timer is not None:
+            operation.timer.cancel()
         message, future = operation.message, operation.future
         state = verdict if isinstance(verdict, str) else verdict.state
         self.counts[state] += 1
--- a/tests/test_claimwriter.py
+++ b/tests/test_claimwriter.py
@@ -156,6 +156,24 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("hanging", "state"), [(0, "unavailable"), (2, "unknown")]
+)
+def test_claim_is_answered_in_time_although_calls_hang(hanging, state):
+    """R13: a slow service must not hold a caller for each call in turn."""
+
+    async def scenario():
+        client = FaultyKeyValue(["ok"] * hanging + ["hang"] * 5)
+        writer = Writer(client).writer
+        assert (await writer.claim(claim("a"))).state == state
+        assert asyncio.get_running_loop().time() <= 5.0
+        client.faults.clear()
+        await asyncio.sleep(10)
+        assert (await writer.claim(claim("b", "k2"))).state == "granted"
+
+    run(scenario())
+
+
 def test_outage_answers_claims_while_a_result_waits():
     """R4: a result that cannot be stored must not hold up claims."""
 
