Divide the weight store's rate among loading data centres

Cause: a share's rate followed its loads at once, so three data centres with 8 engines used 8/12 of the rate at most; permits were held by models that waited for their engine; the first share came 10 s after the start. Change: the rate is divided evenly, one permit an engine, shares are renewed each 2 s while something loads, first homes recover first.

--- a/carobsail/planbook.py
+++ b/carobsail/planbook.py
@@ -97,6 +97,7 @@
         listed: inventory.Inventory,
         documents: dict[str, bytes],
         owners: Mapping[str, str],
+        elsewhere: frozenset[str],
         now: float,
     ) -> dict[str, messages.Plan]:
         """Runs the planner; returns the plans that have changed, by owner."""
@@ -109,7 +110,11 @@
                 self._policies = self._render(documents)
                 self._rendered_for = revision
             known = planner.Situation(
-                listed, self.progress, self._policies, self._total_demand()
+                listed,
+                self.progress,
+                self._policies,
+                self._total_demand(),
+                elsewhere,
             )
             wanted = self.planner.plan(known, now)
         except Exception as error:
--- a/carobsail/planner.py
+++ b/carobsail/planner.py
@@ -37,12 +37,14 @@
       progress: Latest progress of each engine.
       policies: Policies of all client accounts.
       demand: Requests and tokens a second of each model, as reported last.
+      elsewhere: Models resident in other data centres.
     """
 
     listed: inventory.Inventory
     progress: Mapping[str, messages.TargetProgress]
     policies: list[policies.Policy]
     demand: Mapping[str, tuple[float, float]]
+    elsewhere: frozenset[str] = frozenset()
 
 
 class DataCentrePlanner:
@@ -56,6 +58,7 @@
     __slots__ = (
         "_averages",
         "_copies",
+        "_first_homes",
         "_data_centre",
         "_loading",
         "_permits",
@@ -90,6 +93,7 @@
         self._weights = weights
         self._policy = policy
         self._copies = copies
+        self._first_homes: set[str] = set()
         self._averages: dict[str, demand.DemandAverage] = {}
         self._placement: planning.Placement | None = None
         self._planned_at = float("-inf")
@@ -104,8 +108,11 @@
 
     @property
     def loads_wanted(self) -> int:
-        """Loads that this data centre would like to have under way."""
-        return sum(len(models) for models in self._wanted.values())
+        """Loads that this data centre would like to have under way.
+
+        An owner loads one model at a time into each engine.
+        """
+        return len(self._wanted)
 
     @property
     def loads_in_flight(self) -> int:
@@ -195,6 +202,11 @@
         assigned = homes.assign_homes(situation.listed, copies)
         by_engine: dict[str, list[str]] = {}
         at_home = set()
+        self._first_homes = {
+            model
+            for model, engines in assigned.items()
+            if engines and engines[0].data_centre == self._data_centre
+        }
         for model, engines in assigned.items():
             for target in engines:
                 if target.data_centre == self._data_centre:
@@ -238,35 +250,73 @@
     ) -> list[messages.TargetPlan]:
         """Lets models load as the weight store's share allows."""
         assert self._placement is not None
-        resident_anywhere = {
-            model
-            for entry in situation.progress.values()
-            for model in entry.resident
-        }
+        resident = self._reachable(situation)
         plans = []
         self._wanted = {}
-        still_loading = set()
+        loading = set()
+        candidates = []
         for plan in self._placement.plans:
             entry = situation.progress.get(plan.target)
             if entry is None:
                 continue
-            models = []
-            for model in plan.models:
-                key = (plan.target, model)
-                if model in entry.resident:
-                    models.append(model)
-                    continue
-                recovery = model not in resident_anywhere
-                if key in self._loading or self._permit(recovery, now):
-                    still_loading.add(key)
-                    models.append(model)
-                self._wanted.setdefault(plan.target, []).append(model)
-            plans.append(msgspec.structs.replace(plan, models=models))
-        for _ in self._loading - still_loading:
+            missing = [m for m in plan.models if m not in entry.resident]
+            if missing:
+                self._wanted[plan.target] = missing
+            under_way = {
+                (plan.target, m)
+                for m in missing
+                if (plan.target, m) in self._loading
+            }
+            loading |= under_way
+            # An owner loads one model at a time, so a second permit of an
+            # engine would only be kept from the others.
+            if not under_way and entry.healthy:
+                candidates += [(plan.target, m) for m in missing]
+            plans.append(plan)
+        self._give_back(len(self._loading - loading))
+        self._loading = loading
+        candidates.sort(key=lambda c: (c[1] in resident, c[1], c[0]))
+        self._start_loads(candidates, resident, now)
+        return [self._allowed(plan, situation) for plan in plans]
+
+    def _reachable(self, situation: Situation) -> set[str]:
+        found = set(situation.elsewhere)
+        for entry in situation.progress.values():
+            found.update(entry.resident)
+        return found
+
+    def _start_loads(
+        self,
+        candidates: list[tuple[str, str]],
+        resident: set[str],
+        now: float,
+    ) -> None:
+        busy = set()
+        for target, model in candidates:
+            # Two data centres may be home of a model that neither has yet:
+            # the first home recovers it.
+            recovery = model not in resident and model in self._first_homes
+            if target in busy or not self._permit(recovery, now):
+                continue
+            busy.add(target)
+            self._loading.add((target, model))
+
+    def _allowed(
+        self, plan: messages.TargetPlan, situation: Situation
+    ) -> messages.TargetPlan:
+        """Returns the plan with the models that are resident or may load."""
+        entry = situation.progress[plan.target]
+        models = [
+            model
+            for model in plan.models
+            if model in entry.resident or (plan.target, model) in self._loading
+        ]
+        return msgspec.structs.replace(plan, models=models)
+
+    def _give_back(self, permits: int) -> None:
+        for _ in range(permits):
             if self._permits is not None:
                 self._permits.release()
-        self._loading = still_loading
-        return plans
 
     def _permit(self, recovery: bool, now: float) -> bool:
         return self._permits is not None and self._permits.try_acquire(
--- a/carobsail/residency.py
+++ b/carobsail/residency.py
@@ -81,6 +81,13 @@
         self.others[name] = models
         return [messages.Residency(name, models)]
 
+    def elsewhere(self) -> frozenset[str]:
+        """Returns the models resident in other data centres."""
+        found: set[str] = set()
+        for models in self.others.values():
+            found.update(models)
+        return frozenset(found)
+
     async def publish(
         self,
         progress: Iterable[messages.TargetProgress],
--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -26,8 +26,7 @@
 OWNERSHIP_INTERVAL_S = 0.25
 FLUSH_INTERVAL_S = relay.MESSAGE_INTERVAL_S
 PUBLISH_INTERVAL_S = 1.0
-# A data centre that waits for a share, or could give one back, asks sooner.
-SHORT_SHARE_INTERVAL_S = 2.0
+SHARE_INTERVAL_S = 2.0
 WATCHED_PREFIX = "/carobsail/"
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
@@ -291,18 +290,17 @@
             self._context.key_value,
         )
         placing.use_share(client.book)
+        renewed_at = float("-inf")
         while True:
             wanted, in_flight = placing.loads_wanted, placing.loads_in_flight
             held = client.book.share(self._now()).loads_at_once
-            if self._may_order() and (wanted or held or in_flight):
+            due = self._now() - renewed_at >= weightstore.RENEWAL_INTERVAL_S
+            # While something loads, others wait for a fair part of the rate.
+            active = bool(wanted or in_flight)
+            if self._may_order() and (active or (held and due)):
+                renewed_at = self._now()
                 await client.renew(wanted, in_flight)
-                held = client.book.share(self._now()).loads_at_once
-            short = wanted > held or (not wanted and held)
-            await asyncio.sleep(
-                SHORT_SHARE_INTERVAL_S
-                if short
-                else weightstore.RENEWAL_INTERVAL_S
-            )
+            await asyncio.sleep(SHARE_INTERVAL_S)
 
     async def _assign(self) -> None:
         retry_s = OWNERSHIP_INTERVAL_S
@@ -390,6 +388,7 @@
             self.inventory,
             self.relay.documents,
             self.book.owners,
+            self._residency.elsewhere(),
             now,
         )
         for owner, plan in plans.items():
--- a/carobsail/weightstore.py
+++ b/carobsail/weightstore.py
@@ -90,7 +90,9 @@
         rate_free = self._store.loads_per_s - sum(
             s.loads_per_s for s in others.values()
         )
-        rate = self._store.loads_per_s * at_once / max(1, limit)
+        # Divided among those that load now; in proportion to `at_once` most
+        # of the rate was left unused while few engines were loading.
+        rate = self._store.loads_per_s / (wanting + 1) if at_once else 0.0
         own = Share(
             max(0.0, min(rate, rate_free)),
             at_once,
