--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each run as a module."""
--- a/carobsail/placement.py
+++ b/carobsail/placement.py
@@ -20,8 +20,10 @@
 )
 
 SHRINK_BELOW = 0.4  # Far below GROW_ABOVE, so that placement does not flap.
+# A release that waits for more than this on the region link frees nothing.
+MOST_RELEASE_TRANSFER_S = 600.0
 SHRINK_INTERVAL_S = 120.0  # An engine is released at most this often.
-BENEFIT_S = 600.0  # Time over which a move's cost is weighed.
+LEAST_GAP = 0.15  # Smaller differences in load do not pay a copy.
 MOST_FUTILE = 16  # Overloaded engines tried in vain before a round ends.
 MOST_GROWTH = 16  # Copies added a round; the store starts about 1 load/s.
 
@@ -87,8 +89,14 @@
     """Adds copies of the models that overload their engines."""
     idle = {
         name: sorted(
-            (e for e in pool if e.share < GROW_ABOVE),
-            key=lambda e: (not e.want, e.far, e.share, e.target.name),
+            pool,
+            key=lambda e: (
+                e.share >= GROW_ABOVE,
+                not e.want,
+                e.far,
+                e.share,
+                e.target.name,
+            ),
         )
         for name, pool in state.pools.items()
     }
@@ -118,16 +126,23 @@
         tokens = state.tokens[model] / len(state.copies[model])
         if tokens <= 0:
             continue
-        found = itertools.islice(state.candidates(model, idle), MOST_COMPARED)
+        found = itertools.islice(
+            (
+                e
+                for e in state.candidates(model, idle)
+                if e.share + LEAST_GAP < engine.share
+            ),
+            MOST_COMPARED,
+        )
         other = min(found, key=lambda e: state.rank(e, model), default=None)
         if other is None:
             continue
-        moved = min(
-            tokens / 2, excess, max(0.0, GROW_ABOVE * other.rate - other.load)
-        )
+        # Above the threshold everywhere, an evener spread still saves some.
+        moved = min(tokens / 2, excess, (engine.load - other.load) / 2)
         known = state.demand.get(model, NO_DEMAND)
         per_token = known.requests_per_s / max(known.tokens_per_s, 1e-9)
-        saved = moved * per_token * BENEFIT_S * state.weights.late
+        useful_s = state.weights.horizon_s - state.transfer_s(other, model)
+        saved = moved * per_token * max(0.0, useful_s) * state.weights.late
         gain = saved - state.load_cost(other, model)
         if gain > 0 and (best is None or gain > best[0]):
             best = gain, model, other, saved
@@ -167,6 +182,7 @@
                 for e in state.candidates(model)
                 if e.want
                 and e is not engine
+                and state.transfer_s(e, model) <= MOST_RELEASE_TRANSFER_S
                 and e.free_mb - state.held_mb(e) - taken.get(e.target.name, 0)
                 >= mb
             ]
--- a/carobsail/planning.py
+++ b/carobsail/planning.py
@@ -24,12 +24,14 @@
       link_gb: Cost of one gigabyte over the link between regions.
       engine: Value of an engine that is released; a release whose moves cost
         more is not made.
+      horizon_s: Time in seconds in which a load must pay, transfer included.
     """
 
     late: float = 1.0
     load: float = 10.0
     link_gb: float = 2.0
     engine: float = 100.0
+    horizon_s: float = 1800.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -193,6 +195,11 @@
         far = self.weights.link_gb * gigabytes if engine.far else 0.0
         return self.weights.load + far
 
+    def transfer_s(self, engine: EngineState, model: str) -> float:
+        """Seconds that a model's weights need on the region link, if any."""
+        megabits = self.models[model].weights_mb * 8
+        return megabits / self.listed.region_link_mbit_per_s * engine.far
+
     def add(
         self, engine: EngineState, model: str, reason: str, benefit: float = 0.0
     ) -> None:
