Test grant, permit, drain and takeover checks of orders

Cause: trial mutations showed that the state machine does not notice a missing check of the intent's epoch. Change: one test each for a grant that ends during the intent write, a missing permit, a model in use, and a later owner's intent.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,9 +1,11 @@
 """Guards model orders against lost, late, doubled and reordered delivery."""
 
 import asyncio
+import dataclasses
 import random
 
 import async_solipsism
+import msgspec
 from builders_placement import target
 from fake_engine import FakeEngine
 from hypothesis import settings
@@ -232,3 +234,79 @@
         assert cluster.owners[0].orders.ledger.intents() == {"m1": 500}
 
     run(scenario())
+
+
+def step_once(change, models=("m1",)):
+    """Takes steps of e1's owner after `change(cluster, owner)`."""
+
+    async def scenario():
+        cluster = Cluster()
+        owner = cluster.owners[0]
+        owner.want(list(models))
+        await owner.orders.adopt(1, 0.0)
+        change(cluster, owner)
+        result = await owner.orders.step()
+        return cluster, owner, result
+
+    return run(scenario())
+
+
+def test_grant_is_checked_after_the_intent():
+    """A grant may end while the intent is being written (R1, R13)."""
+
+    def change(cluster, owner):
+        answers = iter([True, False])
+        guards = dataclasses.replace(
+            owner.orders._guards, may_order=lambda: next(answers)
+        )
+        owner.orders._guards = guards
+
+    cluster, owner, result = step_once(change)
+    assert result is False
+    assert cluster.engines[0].sent_fence == 0
+    assert owner.orders.ledger.free_mb == 1000
+
+
+def test_load_without_permit_is_not_sent():
+    """Loads beyond the share slow down every other load (R12)."""
+
+    def change(cluster, owner):
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards, permit=lambda model: None
+        )
+
+    cluster, _, result = step_once(change)
+    assert result is False
+    assert cluster.engines[0].sent_fence == 0
+
+
+def test_model_in_use_is_drained_before_its_unload():
+    """An unload under running requests cuts them off (R7)."""
+
+    def change(cluster, owner):
+        cluster.engines[0].models["m3"] = 300
+        owner.orders.ledger.reserve("m3", 300, 0.0)
+        owner.orders.ledger.load_sent("m3", 0.0)
+        owner.orders.ledger.confirm_load("m3", 0.0)
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards, drained=lambda model: False
+        )
+
+    cluster, owner, result = step_once(change, models=())
+    assert result is False
+    assert owner.orders.leaving == {"m3"}
+    assert "m3" in cluster.engines[0].models
+
+
+def test_intent_of_a_later_owner_stops_this_one():
+    """An old owner that rewrites the intent hides later orders (R1)."""
+
+    def change(cluster, owner):
+        key = orders.intent_key("a", "e1")
+        value = msgspec.json.encode(orders.Intent(2, {"m2": 400}))
+        cluster.store._write([keyvalue.Put(key, value)])
+
+    cluster, owner, result = step_once(change)
+    assert result.reason is errors.Reason.FENCED
+    assert owner.orders.stopped is result
+    assert cluster.engines[0].sent_fence == 0
