Tighten tests of late loads, drains and ignored fencing

Cause: trial mutations of the wait for ignored fencing numbers, of the second drain check and of late loads passed the tests. Change: assertions for each; all three trial mutations now fail a test.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -90,10 +90,13 @@
     """An old unload may remove a copy that the report still lists (R2)."""
     book = loaded(checks=False)
     book.adopt(3, {"m1": 600}, 200.0)
-    book.observe(report(models={"m1": 600}), 229.0)
-    assert not book.may_unload("m1", 229.0)
-    book.observe(report(models={"m1": 600}), 230.0)
-    assert book.may_unload("m1", 230.0)
+    book.reserve("m2", 400, 201.0)
+    book.load_sent("m2", 201.0)
+    book.confirm_load("m2", 203.0)
+    for now in (229.0, 230.0):
+        book.observe(report(models={"m1": 600, "m2": 400}), now)
+        assert book.may_unload("m1", now) is (now == 230.0)
+        assert book.is_safe("m2", now) is (now == 230.0)
 
 
 def test_reports_out_of_order_change_nothing():
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,6 +6,7 @@
 
 import async_solipsism
 import msgspec
+import pytest
 from builders_placement import target
 from fake_engine import FakeEngine
 from hypothesis import settings
@@ -229,6 +230,7 @@
         cluster.store.available = True
         cluster.engines[0].fates = [("late", 20.0)]
         await owner.orders.step()
+        assert owner.orders.ledger.free_mb == 500
         cluster.replace(0)
         await asyncio.sleep(1.0)
         assert cluster.owners[0].orders.ledger.intents() == {"m1": 500}
@@ -280,7 +282,8 @@
     assert cluster.engines[0].sent_fence == 0
 
 
-def test_model_in_use_is_drained_before_its_unload():
+@pytest.mark.parametrize("answers", [[False], [True, False]])
+def test_model_in_use_is_drained_before_its_unload(answers):
     """An unload under running requests cuts them off (R7)."""
 
     def change(cluster, owner):
@@ -289,9 +292,10 @@
         owner.orders.ledger.load_sent("m3", 0.0)
         owner.orders.ledger.confirm_load("m3", 0.0)
         owner.orders._guards = dataclasses.replace(
-            owner.orders._guards, drained=lambda model: False
+            owner.orders._guards, drained=lambda model: answers.pop(0)
         )
 
+    answers = list(answers)
     cluster, owner, result = step_once(change, models=())
     assert result is False
     assert owner.orders.leaving == {"m3"}
