Return permits of unanswered loads when an ownership ends

Cause: an owner that stopped with a late load kept the store's permit. Change: EngineOrders.close gives permits back; run calls it at its end.

--- a/carobsail/orders.py
+++ b/carobsail/orders.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -164,18 +164,25 @@
 
     async def run(self) -> errors.Failure:
         """Works until this ownership ends; returns the reason."""
-        while True:
-            await self.refresh()
-            result = await self.step()
-            if self.stopped is not None:
-                return self.stopped
-            if isinstance(result, errors.Failure):
-                await asyncio.sleep(self._backoff_s())
-            elif not result:
-                self._attempts = 0
-                await asyncio.sleep(ROUND_INTERVAL_S)
-            else:
+        try:
+            while True:
+                await self.refresh()
+                result = await self.step()
+                if self.stopped is not None:
+                    return self.stopped
+                if isinstance(result, errors.Failure):
+                    await asyncio.sleep(self._backoff_s())
+                    continue
                 self._attempts = 0
+                if not result:
+                    await asyncio.sleep(ROUND_INTERVAL_S)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Gives back the permits of loads that were not answered."""
+        while self._permits:
+            self._permits.popitem()[1]()
 
     async def step(self) -> bool | errors.Failure:
         """Sends at most one order towards the wanted state.
@@ -294,7 +301,9 @@
         self.leaving.discard(model)
         return True
 
-    async def _order(self, model, call) -> None | errors.Failure:
+    async def _order(
+        self, model: str, call: Awaitable[None | errors.Failure]
+    ) -> None | errors.Failure:
         """Awaits an order's answer; without one the model counts as late."""
         answered = False
         try:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 import async_solipsism
 import msgspec
 import pytest
-from builders_placement import target
+from builders_placement import report, target
 from fake_engine import FakeEngine
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -314,3 +314,21 @@
     assert result.reason is errors.Reason.FENCED
     assert owner.orders.stopped is result
     assert cluster.engines[0].sent_fence == 0
+
+
+def test_permit_of_a_late_load_is_returned_once():
+    """A permit that is never returned shrinks the store's share (R12)."""
+    returned = []
+
+    def change(cluster, owner):
+        cluster.engines[0].fates = [("lost", 0.0)]
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards,
+            permit=lambda model: lambda: returned.append(1),
+        )
+
+    _, owner, _ = step_once(change)
+    assert not returned
+    owner.orders.observe(report(), 60.0)
+    owner.orders.close()
+    assert returned == [1]
