--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,10 +1,13 @@
 """Guards model orders against lost, late, doubled and reordered delivery."""
 
 import asyncio
+import dataclasses
 import random
 
 import async_solipsism
-from builders_placement import target
+import msgspec
+import pytest
+from builders_placement import report, target
 from fake_engine import FakeEngine
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -227,8 +230,105 @@
         cluster.store.available = True
         cluster.engines[0].fates = [("late", 20.0)]
         await owner.orders.step()
+        assert owner.orders.ledger.free_mb == 500
         cluster.replace(0)
         await asyncio.sleep(1.0)
         assert cluster.owners[0].orders.ledger.intents() == {"m1": 500}
 
     run(scenario())
+
+
+def step_once(change, models=("m1",)):
+    """Takes steps of e1's owner after `change(cluster, owner)`."""
+
+    async def scenario():
+        cluster = Cluster()
+        owner = cluster.owners[0]
+        owner.want(list(models))
+        await owner.orders.adopt(1, 0.0)
+        change(cluster, owner)
+        result = await owner.orders.step()
+        return cluster, owner, result
+
+    return run(scenario())
+
+
+def test_grant_is_checked_after_the_intent():
+    """A grant may end while the intent is being written (R1, R13)."""
+
+    def change(cluster, owner):
+        answers = iter([True, False])
+        guards = dataclasses.replace(
+            owner.orders._guards, may_order=lambda: next(answers)
+        )
+        owner.orders._guards = guards
+
+    cluster, owner, result = step_once(change)
+    assert result is False
+    assert cluster.engines[0].sent_fence == 0
+    assert owner.orders.ledger.free_mb == 1000
+
+
+def test_load_without_permit_is_not_sent():
+    """Loads beyond the share slow down every other load (R12)."""
+
+    def change(cluster, owner):
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards, permit=lambda model: None
+        )
+
+    cluster, _, result = step_once(change)
+    assert result is False
+    assert cluster.engines[0].sent_fence == 0
+
+
+@pytest.mark.parametrize("answers", [[False], [True, False]])
+def test_model_in_use_is_drained_before_its_unload(answers):
+    """An unload under running requests cuts them off (R7)."""
+
+    def change(cluster, owner):
+        cluster.engines[0].models["m3"] = 300
+        owner.orders.ledger.reserve("m3", 300, 0.0)
+        owner.orders.ledger.load_sent("m3", 0.0)
+        owner.orders.ledger.confirm_load("m3", 0.0)
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards, drained=lambda model: answers.pop(0)
+        )
+
+    answers = list(answers)
+    cluster, owner, result = step_once(change, models=())
+    assert result is False
+    assert owner.orders.leaving == {"m3"}
+    assert "m3" in cluster.engines[0].models
+
+
+def test_intent_of_a_later_owner_stops_this_one():
+    """An old owner that rewrites the intent hides later orders (R1)."""
+
+    def change(cluster, owner):
+        key = orders.intent_key("a", "e1")
+        value = msgspec.json.encode(orders.Intent(2, {"m2": 400}))
+        cluster.store._write([keyvalue.Put(key, value)])
+
+    cluster, owner, result = step_once(change)
+    assert result.reason is errors.Reason.FENCED
+    assert owner.orders.stopped is result
+    assert cluster.engines[0].sent_fence == 0
+
+
+def test_permit_of_a_late_load_is_returned_once():
+    """A permit that is never returned shrinks the store's share (R12)."""
+    returned = []
+
+    def change(cluster, owner):
+        cluster.engines[0].fates = [("lost", 0.0)]
+        owner.orders._guards = dataclasses.replace(
+            owner.orders._guards,
+            permit=lambda model: lambda: returned.append(1),
+        )
+
+    _, owner, _ = step_once(change)
+    assert not returned
+    owner.orders.observe(report(), 60.0)
+    owner.orders.close()
+    assert returned == [1]
