--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -6,6 +6,7 @@
 import random
 import sys
 import time
+from typing import Annotated
 
 import fire
 import msgspec
@@ -22,6 +23,8 @@
     messages,
     operatorport,
     peers,
+    planner,
+    planning,
     policies,
     settings,
     signals,
@@ -39,6 +42,28 @@
 ]
 
 
+Cost = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class PlacementWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the placement weighs; only the ratio matters.
+
+    Attributes:
+      late: Cost of one late answer.
+      load: Cost of one model load.
+    """
+
+    late: Cost = 1.0
+    load: Cost = 10.0
+
+
+REPORT_INTERVAL_S = 1.0
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+# Shorter secrets could be guessed from one recorded handshake.
+Secret = Annotated[str, msgspec.Meta(min_length=16)]
+
+
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of `carobsail-control`.
 
@@ -52,17 +77,25 @@
       peer_secrets: Shared secrets; the first is current, others are accepted.
       statsd: `host:port` of the statsd server; empty for none.
       calls_per_s: Key-value call budget of the data centre.
+      placement_policy: Name of the placement policy.
+      copies: Copies of each model in use, where memory allows.
+      weights: What late answers and loads cost.
     """
 
-    instance: str
-    data_centre: str
+    instance: Name
+    data_centre: Name
     peer_listen: str
     operator_listen: str
     key_value_url: str
     inventory_url: str
-    peer_secrets: list[str]
+    peer_secrets: Annotated[list[Secret], msgspec.Meta(min_length=1)]
     statsd: str = ""
-    calls_per_s: float = controller.DEFAULT_CALLS_PER_S
+    calls_per_s: Annotated[float, msgspec.Meta(gt=0)] = (
+        controller.DEFAULT_CALLS_PER_S
+    )
+    placement_policy: str = "demand_aware"
+    copies: Annotated[int, msgspec.Meta(ge=1, le=8)] = planner.DEFAULT_COPIES
+    weights: PlacementWeights = PlacementWeights()
 
 
 class _Rendering:
@@ -87,7 +120,14 @@
       controller: The controller behind the ports.
     """
 
-    __slots__ = ("_operators", "_peers", "_source", "controller")
+    __slots__ = (
+        "_metrics",
+        "_operators",
+        "_peers",
+        "_reporting",
+        "_source",
+        "controller",
+    )
 
     def __init__(
         self,
@@ -95,8 +135,11 @@
         peer_server: peers.PeerServer,
         operators: httpserver.Server,
         source: inventorysource.InventorySource,
+        metrics: telemetry.Metrics,
     ) -> None:
         """Takes servers that listen already."""
+        self._metrics = metrics
+        self._reporting = asyncio.create_task(self._report())
         self.controller = process
         self._peers = peer_server
         self._operators = operators
@@ -113,7 +156,20 @@
         await self._close()
         return 0
 
+    async def _report(self) -> None:
+        """Sends gauges to statsd."""
+        process = self.controller
+        while True:
+            leading = float(process.term is not None)
+            self._metrics.gauge("control.leading", leading)
+            members = len(process.members.members())
+            self._metrics.gauge("control.members", members)
+            self._metrics.gauge("control.revision", process.state.revision)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
     async def _close(self) -> None:
+        self._reporting.cancel()
+        self._metrics.close()
         self._peers.close()
         await self._operators.close()
         self._source.close()
@@ -148,6 +204,14 @@
         source.fetch,
         connect,
         random.Random(os.urandom(16)),
+        placing=planner.DataCentrePlanner(
+            loaded.data_centre,
+            planning.Weights(
+                late=loaded.weights.late, load=loaded.weights.load
+            ),
+            loaded.placement_policy,
+            loaded.copies,
+        ),
         render=_Rendering(),
         calls_per_s=loaded.calls_per_s,
     )
@@ -167,8 +231,9 @@
         httpserver.Bounds(),
         "operators",
     )
+    metrics = telemetry.Metrics(loaded.statsd)
     process.start()
-    return ControlServers(process, peer_server, operators, source)
+    return ControlServers(process, peer_server, operators, source, metrics)
 
 
 async def serve(loaded: ControlSettings) -> int:
--- a/tests/builders_coordination.py
+++ b/tests/builders_coordination.py
@@ -191,6 +191,25 @@
             link.offer(self.holder.hand_back())
 
 
+class FakePlanner:
+    """Plans by a function and wants no loads."""
+
+    loads_wanted = 0
+    loads_in_flight = 0
+
+    def __init__(self, decide):
+        self._decide = decide
+
+    def use_share(self, book):
+        pass
+
+    def plan(self, situation, now):
+        return self._decide(situation)
+
+    def dump(self):
+        return {}
+
+
 class Centre:
     """A data centre: entry and control processes in one loop."""
 
