--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -15,9 +15,10 @@
     membership,
     messages,
     ownership,
-    planning,
+    planbook,
     relay,
     residency,
+    weightstore,
 )
 from carobsail import links as peer_links
 
@@ -25,6 +26,7 @@
 OWNERSHIP_INTERVAL_S = 0.25
 FLUSH_INTERVAL_S = relay.MESSAGE_INTERVAL_S
 PUBLISH_INTERVAL_S = 1.0
+SHARE_INTERVAL_S = 2.0
 WATCHED_PREFIX = "/carobsail/"
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
@@ -46,7 +48,7 @@
       links: Present link by process.
       set_peers: Sets the addresses to keep links to.
       planner: Placement policy.
-      render: planning.Renders policies from configuration documents.
+      render: Renders policies from configuration documents.
       rng: Source of jitter and tokens.
       calls_per_s: Key-value call budget of the data centre.
       instance: Own instance.
@@ -60,8 +62,8 @@
     state: relay.ConfigurationState
     links: dict[membership.Process, peer_links.Link]
     set_peers: Callable[[Sequence[str]], None]
-    planner: planning.Planner | None
-    render: planning.Render
+    planner: planbook.Planner | None
+    render: planbook.Render
     rng: random.Random
     calls_per_s: float
     instance: str
@@ -82,6 +84,7 @@
         "_applied",
         "_context",
         "_document",
+        "_listed",
         "_loaded",
         "_proposed_for",
         "_residency",
@@ -106,11 +109,12 @@
         self.book = ownership.OwnershipBook()
         self.relay = relay.Relay(context.state)
         self.inventory: inventory.Inventory | None = None
-        self.plans = planning.PlanBook(context.planner, context.render)
+        self.plans = planbook.PlanBook(context.planner, context.render)
         centre, service = context.data_centre, context.key_value
         self._store = ownership.OwnershipStore(centre, service, context.rng)
         self._applied = relay.AppliedWriter(centre, service)
         self._residency = residency.ResidencyBook(centre, service)
+        self._listed = asyncio.Event()
         self._loaded = False
         self._adopted = False
         self._document = b""
@@ -131,6 +135,7 @@
                 self._assign,
                 self._flush,
                 self._publish,
+                self._renew_share,
             ):
                 group.create_task(duty())
 
@@ -158,6 +163,7 @@
         if self.inventory and found.version < self.inventory.version:
             return
         self.inventory = found
+        self._listed.set()
         own = [
             i
             for i in found.instances
@@ -257,9 +263,45 @@
             confirmed = self.relay.confirmed(required)
             await self._applied.publish(confirmed, self._fence(), self._now())
             await self._residency.publish(
-                self.plans.progress.values(), self._fence(), self._now()
+                self.plans.progress.values(),
+                self._services(self.inventory),
+                self._fence(),
+                self._now(),
             )
 
+    def _services(self, listed: inventory.Inventory) -> list[str]:
+        return [
+            target.pool
+            for target in listed.in_data_centre(self._context.data_centre)
+            if target.kind is inventory.Kind.SERVICE
+            and target.state is inventory.State.LIVE
+        ]
+
+    async def _renew_share(self) -> None:
+        """Keeps the data centre's share of the weight store's budget."""
+        placing = self.plans.planner
+        if placing is None:
+            return
+        await self._listed.wait()
+        assert self.inventory is not None
+        client = weightstore.ShareClient(
+            self._context.data_centre,
+            self.inventory.weight_store,
+            self._context.key_value,
+        )
+        placing.use_share(client.book)
+        renewed_at = float("-inf")
+        while True:
+            wanted, in_flight = placing.loads_wanted, placing.loads_in_flight
+            held = client.book.share(self._now()).loads_at_once
+            due = self._now() - renewed_at >= weightstore.RENEWAL_INTERVAL_S
+            # While something loads, others wait for a fair part of the rate.
+            active = bool(wanted or in_flight)
+            if self._may_order() and (active or (held and due)):
+                renewed_at = self._now()
+                await client.renew(wanted, in_flight)
+            await asyncio.sleep(SHARE_INTERVAL_S)
+
     async def _assign(self) -> None:
         retry_s = OWNERSHIP_INTERVAL_S
         while True:
@@ -346,6 +388,7 @@
             self.inventory,
             self.relay.documents,
             self.book.owners,
+            self._residency.elsewhere(),
             now,
         )
         for owner, plan in plans.items():
@@ -389,8 +432,12 @@
                 self.book.handed_back(process.instance, message.epoch)
                 self._proposed_for = None
             case messages.Progress() if message.epoch <= self.book.epoch:
-                self.plans.take(message)
+                self.plans.take(process.instance, message)
         return None
 
+    def dump(self) -> dict[str, object]:
+        """Returns the placement's state for operators."""
+        return self.plans.planner.dump() if self.plans.planner else {}
+
     def _frozen(self) -> bool:
         return self._context.leadership.role == leadership.Role.FROZEN
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,6 +1,6 @@
 """Guards the controller that ties coordination together."""
 
-from builders_coordination import run_virtual, started
+from builders_coordination import FakePlanner, run_virtual, started
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -43,11 +43,12 @@
 
 def test_plans_reach_owners_only():
     """A plan at a process that does not own the engine would double orders."""
-
-    def planner(listed, progress, policies, now):
-        return [
-            messages.TargetPlan(t.name, ["m"], "any") for t in listed.targets
+    planner = FakePlanner(
+        lambda situation: [
+            messages.TargetPlan(t.name, ["m"], "any")
+            for t in situation.listed.targets
         ]
+    )
 
     async def scenario():
         centre = await started(planner=planner)
@@ -66,9 +67,11 @@
 def test_planner_fault_does_not_end_leadership():
     """A fault in the planner must not cost ownership or grants (R13)."""
 
-    def planner(listed, progress, policies, now):
+    def fail(situation):
         raise ValueError("fault")
 
+    planner = FakePlanner(fail)
+
     async def scenario():
         centre = await started(planner=planner)
         assert set(centre.ordering()) == set(centre.targets)
@@ -85,10 +88,7 @@
         entry = centre.entries["i0"]
         progress = messages.Progress(
             entry.holder.epoch,
-            [
-                messages.TargetProgress(t, ["m"], [], {})
-                for t in centre.targets[:2]
-            ],
+            [messages.TargetProgress(t, ["m"], []) for t in centre.targets[:2]],
         )
         for link in entry.links:
             link.offer(progress)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -92,6 +92,25 @@
     late.close()
 
 
+async def test_drain_answers_late_requests_and_closes_their_connections():
+    """R7: a request that was on its way when the stop began is answered."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(5.0)
+        await responder.send(200, [], request.path.encode())
+
+    server = await build.server(handler)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    drain = asyncio.create_task(server.drain())
+    await asyncio.sleep(0.2)
+    writer.write(GET)
+    received = await reader.read()
+    assert received.endswith(b"/a")
+    assert b"connection: close" in received.lower()
+    await drain
+
+
 async def test_drain_closes_idle_connections():
     """R7: an idle keep-alive connection must not hold up a planned stop."""
     server = await build.server()
@@ -177,3 +196,19 @@
     assert received.startswith(b"HTTP/1.1 100")
     received = await build.exchange(server.port, LAST.replace(b"GET", b"HEAD"))
     assert received.endswith(b"\r\n\r\n")
+
+
+async def test_connection_serves_on_after_a_slow_answer():
+    """The watch for the caller's departure must not keep the next read."""
+
+    async def handler(request, responder):
+        await asyncio.sleep(1.0)
+        await responder.send(200, [], request.body)
+
+    server = await build.server(handler)
+    pool = build.pool(server.port)
+    for body in (b"1", b"2", b"3"):
+        answer = await pool.request("POST", "/", [], body)
+        assert await answer.read(10) == body
+    assert pool.connects == 1
+    assert server.connections == 1
