Detect the leader's silence without comparing clocks

A timer may end up to the clock's resolution early, so the loop time could still be below the limit when the wait ended; on a virtual clock the loop then never advanced. The wait now asks whether a heartbeat came meanwhile.

--- a/carobsail/leadership.py
+++ b/carobsail/leadership.py
@@ -158,15 +158,15 @@
 
     async def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
         """Waits until the leader has been silent, then a random time."""
-        # The same sum as in `run`: a difference could round to below the
-        # limit at the very time at which this wait ends.
-        silent_at = self._heard_at + LEADER_SILENT_S
+        heard_at = self._heard_at
         self._vacated.clear()
         try:
-            async with asyncio.timeout_at(silent_at):
+            async with asyncio.timeout_at(heard_at + LEADER_SILENT_S):
                 await self._vacated.wait()
         except TimeoutError:
-            if loop.time() < self._heard_at + LEADER_SILENT_S:
+            # Timers end up to the clock's resolution early, so the clock
+            # cannot tell; a heartbeat since then can.
+            if self._heard_at != heard_at:
                 return
         await asyncio.sleep(self._spread_s())
 
