Share account limits and crash suspicions between instances

Cause: each instance enforced the whole limit of an account; a crash suspect was not sent to its quarantine target; other data centres did not hear of crashes; a silent gateway held requests for ever. Change: accountshares divides limits by demand, across data centres by what the others leave; the forwarder asks the suspect book first; links that are silent are closed; entryinstance is split into parts and duties.

--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -231,6 +231,14 @@
         """Forgets a sending that ended."""
         self._reported.ended(target, attempt)
 
+    def assume_cached(self, target: str, demand: Demand) -> None:
+        """Notes that a target will have a request's prompt in its cache.
+
+        Cache events reach owners only, and late.
+        """
+        if demand.blocks:
+            self._prefixes.assume(target, demand.blocks)
+
     def owner_of(self, target: str) -> str | None:
         """Returns the instance that reported the target's load last."""
         if target in self._dispatcher.runners:
--- a/carobsail/entry.py
+++ b/carobsail/entry.py
@@ -16,6 +16,7 @@
     callmeter,
     clients,
     entryinstance,
+    entryparts,
     errors,
     etcd,
     httpserver,
@@ -62,6 +63,8 @@
       statsd: `host:port` of the statsd server; empty for none.
       log_level: `debug`, `info`, `warning` or `error`.
       routing_policy: Name of the routing policy.
+      stop_notice_s: Seconds between the first sign of a planned stop and the
+        closing of the callers' port, for the balancer to notice.
       bounds: Bounds of the callers' port.
     """
 
@@ -75,6 +78,7 @@
     statsd: str = ""
     log_level: str = "info"
     routing_policy: str = "due_time"
+    stop_notice_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
     bounds: CallerBounds = CallerBounds()
 
 
@@ -111,10 +115,11 @@
         link = await peers.connect_peer(address, hello, secrets)
         return link if isinstance(link, errors.Failure) else shape(link)
 
+    meter = callmeter.CallMeter(service, DEFAULT_CALLS_PER_S)
     return entryinstance.EntryInstance(
-        entryinstance.Surroundings(
+        entryparts.Surroundings(
             hello=hello,
-            key_value=callmeter.CallMeter(service, DEFAULT_CALLS_PER_S),
+            key_value=meter,
             connect=connect,
             clients=clients.HttpClients(),
             secrets=secrets,
@@ -123,6 +128,7 @@
             metrics=telemetry.Metrics(loaded.statsd),
             log=logging.getLogger(telemetry.LOGGER_NAME),
             routing_policy=loaded.routing_policy,
+            set_call_rate=meter.set_rate,
         )
     )
 
@@ -142,8 +148,10 @@
         callers: httpserver.Server,
         operators: httpserver.Server,
         peer_server: peers.PeerServer,
+        notice_s: float,
     ) -> None:
         """Takes servers that listen already."""
+        self._notice_s = notice_s
         self.instance = instance
         self.callers = callers
         self.operators = operators
@@ -152,6 +160,8 @@
     async def stop(self) -> None:
         """Stops gracefully: cuts no request in flight."""
         await self.instance.leave()
+        # The balancer needs time to see that the instance is not ready.
+        await asyncio.sleep(self._notice_s)
         await self.callers.drain()
         await self.instance.stop()
         self._peers.close()
@@ -195,7 +205,7 @@
         operatorport.OperatorPort(
             dump=instance.dump,
             healthy=lambda: not instance.failed.is_set(),
-            ready=lambda: instance.gateway.ready,
+            ready=lambda: instance.ready,
         ).handle,
         httpserver.Bounds(),
         "operators",
@@ -210,7 +220,9 @@
         host, port, instance.gateway.handle, bounds, "callers"
     )
     instance.start()
-    return EntryServers(instance, callers, operators, peer_server)
+    return EntryServers(
+        instance, callers, operators, peer_server, loaded.stop_notice_s
+    )
 
 
 async def serve(loaded: EntrySettings) -> int:
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -1,262 +1,72 @@
 """An entry instance without its servers."""
 
 import asyncio
-import dataclasses
 import logging
-import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 
 import msgspec
 
 from carobsail import (
     adapters,
-    admission,
-    attempts,
-    claimrouting,
-    clients,
-    configuration,
-    demand,
-    directory,
-    dispatcher,
-    enginememory,
     entrylinks,
+    entryparts,
     errors,
-    estimation,
-    forwarder,
-    gateway,
-    grants,
-    idempotency,
     inventory,
-    keyvalue,
     links,
     membership,
     messages,
-    ownedtargets,
     ownership,
     peerset,
-    prefixes,
-    relay,
-    routing,
-    suspects,
-    targetrunner,
+    reporting,
     telemetry,
 )
 
-LOADS_INTERVAL_S = 1.0
 CACHE_EVENTS_INTERVAL_S = 1.0
-# A target's full load is repeated, so that a lost change does not stay lost.
-FULL_LOADS_EVERY = 10
+# Heartbeats to other data centres are rarer, because their links are billed.
+BEATS_PER_GATEWAY_BEAT = 4
+REPORTS_PER_CENTRE_REPORT = 4
 CONTROL = "control"
 ENTRY = entrylinks.ENTRY
 
 
-@dataclasses.dataclass(slots=True)
-class Surroundings:
-    """What an entry instance needs from outside.
+class EntryInstance(entryparts.EntryParts):
+    """Duties of an entry instance: links, heartbeats and reports.
 
     Attributes:
-      hello: Own Hello, with role `entry`.
-      key_value: Key-value client within the instance's call budget.
-      connect: Connects to a peer's address.
-      clients: Clients of targets.
-      secrets: Secrets shared with peers.
-      rng: Source of jitter and tokens.
-      wall_clock: Returns seconds since the epoch.
-      metrics: Counts and timings.
-      log: Receives events.
-      routing_policy: Name of the routing policy.
-    """
-
-    hello: messages.Hello
-    key_value: keyvalue.KeyValueClient
-    connect: links.Connect
-    clients: clients.Clients
-    secrets: list[bytes]
-    rng: random.Random
-    wall_clock: Callable[[], float]
-    metrics: telemetry.Metrics
-    log: logging.Logger
-    routing_policy: str = "due_time"
-
-
-class EntryInstance:
-    """Callers' gateway, owned targets and links of one instance.
-
-    Attributes:
-      gateway: Callers' interface.
-      grants: Ownership granted to this instance.
-      state: Configuration documents.
-      current: Configuration in force.
-      links: Links to entry instances.
-      directory: Known targets.
-      dispatcher: Attempts at owned targets.
-      forwarder: Requests of callers.
       failed: Set when a task ended by a fault.
+      members: Which processes of the data centre are alive.
     """
 
-    def __init__(self, around: Surroundings) -> None:
+    def __init__(self, around: entryparts.Surroundings) -> None:
         """Creates a stopped instance."""
-        self._around = around
-        self.hello = around.hello
+        super().__init__(around)
         self.failed = asyncio.Event()
-        self.grants = grants.GrantHolder()
-        self.state = relay.ConfigurationState()
-        self.current = configuration.ConfigurationSet()
         self.members = membership.Membership()
-        self.speeds = estimation.Speeds()
-        self.prefixes = prefixes.PrefixIndex()
-        self.suspects = suspects.SuspectBook(around.hello.instance)
-        self.dispatcher = dispatcher.Dispatcher()
-        self._adapter_loads = adapters.LoadsInFlight(1)
-        self.demand = demand.DemandCounter(_now())
-        self.owned = ownedtargets.OwnedTargets(
-            self.dispatcher, self.grants, self._new_runner, self._new_engine
-        )
-        self.directory = directory.TargetDirectory(
-            around.hello.data_centre,
-            self.dispatcher,
-            self.owned.models_of,
-            self.speeds,
-            self.prefixes,
-        )
-        self.policy = routing.create(around.routing_policy, around.rng)
-        self._build_callers_side()
         self._peer_set = peerset.PeerSet(
             around.connect, self.on_link, around.rng
         )
         self._control: dict[str, links.Link] = {}
         self._open: set[links.Link] = set()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
         self._seq = 0
-        self._leaving = False
-        self._last_loads: dict[str, messages.TargetLoad] = {}
-        self._last_progress: dict[str, messages.TargetProgress] = {}
-        self._had_demand = False
-
-    def _build_callers_side(self) -> None:
-        around, instance = self._around, self.hello.instance
-        prefix = f"{instance}-{self.hello.incarnation:x}"
-        self.admission = admission.Admission(instance)
-        issued = idempotency.IssuedKeys(
-            instance, self.hello.incarnation, around.secrets, around.rng
-        )
-        self.claim_writer = idempotency.ClaimWriter(
-            around.key_value,
-            self.hello.data_centre,
-            prefix,
-            around.wall_clock,
-        )
-        receivers = attempts.Receivers()
-        self.links = entrylinks.EntryLinks(
-            self.directory,
-            self.dispatcher,
-            receivers,
-            lambda: self.grants.owners,
-            self.policy,
-            around.metrics,
-        )
-        self.directory.set_gateways(self.links.gateways.__contains__)
-        self.forwarder = forwarder.Forwarder(
-            prefix,
-            self.directory,
-            self.policy,
-            self.links,
-            receivers,
-            self.demand,
-            around.metrics,
-            around.rng,
-        )
-        self.claims = claimrouting.ClaimRouter(
-            instance,
-            idempotency.ClaimBook(around.rng),
-            issued,
-            self.claim_writer,
-            self._claim_writers,
-            self.links.tell,
-        )
-        self.gateway = gateway.Gateway(
-            instance,
-            lambda: self.current,
-            self.directory,
-            self.admission,
-            self.forwarder,
-            self.claims,
-            issued,
-            around.metrics,
-            around.log,
-        )
-
-    def _new_runner(
-        self, target: inventory.Target
-    ) -> targetrunner.TargetRunner:
-        around = self._around
-        shared = targetrunner.Shared(
-            self.hello.instance,
-            self.suspects,
-            self.speeds,
-            around.metrics,
-            self._on_crash,
-        )
-        return targetrunner.TargetRunner(
-            target,
-            around.clients.sender(target),
-            lambda model: model in self.owned.models_of(target.name),
-            shared,
-        )
-
-    def _new_engine(
-        self, target: inventory.Target, runner: targetrunner.TargetRunner
-    ) -> ownedtargets.OwnedEngine:
-        around = self._around
-        engine = enginememory.EngineMemory(
-            target,
-            around.clients.engine(target),
-            around.key_value,
-            self.grants,
-            self.directory,
-            runner,
-            self._adapter_loads,
-            lambda model: _unlimited,
-            around.rng,
-        )
-        runner.adapters = engine.gate
-        return engine
-
-    def _on_crash(self, target: str) -> None:
-        telemetry.log(
-            self._around.log,
-            "target_crashed",
-            level=logging.WARNING,
-            target=target,
-        )
-        self.prefixes.forget(target)
-        self.links.broadcast(self.suspects.share(_now()))
-
-    def _claim_writers(self) -> list[str]:
-        """Returns the instances that may write claims, best first."""
-        names = {self.hello.instance, *self.links.peers}
-        if self._leaving and len(names) > 1:
-            names.discard(self.hello.instance)
-        return sorted(
-            names, key=lambda n: ownership.score("claims", n), reverse=True
-        )
+        self._reports = 0
 
     def start(self) -> None:
         """Starts the duties of the instance."""
-        self._tasks = [
-            self._spawn(self._beat()),
-            self._spawn(self._share_loads()),
-            self._spawn(self._read_cache_events()),
-            self._spawn(self.dispatcher.watch()),
-            self._spawn(self.claim_writer.run()),
-        ]
+        self._spawn(self._beat())
+        self._spawn(self._report())
+        self._spawn(self._read_cache_events())
+        self._spawn(self.dispatcher.watch())
+        self._spawn(self.claim_writer.run())
 
     def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
+        self._tasks.add(task)
         task.add_done_callback(self._ended)
         return task
 
     def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             telemetry.log(
                 self._around.log,
@@ -268,8 +78,7 @@
 
     async def leave(self) -> None:
         """Announces the end and hands targets back; serves on meanwhile."""
-        self._leaving = True
-        self.gateway.ready = False
+        self.leaving = True
         self._send_heartbeat()
         self.owned.stop()
         for link in self._control.values():
@@ -289,12 +98,18 @@
         await self.claim_writer.drain(timeout_s=5.0)
         await self.kill()
 
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.gateway.ready and not self.leaving
+
     async def kill(self) -> None:
         """Ends at once."""
         self.owned.stop()
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._peer_set.close()
         for link in list(self._open):
             await link.close()
@@ -305,13 +120,15 @@
         is_entry = link.peer.role == ENTRY
         if is_entry:
             self.links.opened(link)
-            link.offer(self._full_loads())
+            if link.peer.data_centre == self.hello.data_centre:
+                link.offer(self.reporter.full_loads())
             link.offer(self.suspects.share(_now()))
         else:
             self._control[link.peer.instance] = link
-            self._last_progress.clear()
+            self.reporter.repeat_progress()
         try:
             async for message in link:
+                self.links.heard(link, _now())
                 await self._receive(link, message)
         finally:
             self._open.discard(link)
@@ -331,7 +148,9 @@
                 self.links.receive_answer(link, message)
             case messages.Dispatch():
                 if not message.target and message.model:
-                    self.demand.count(message.model, message.output_tokens)
+                    self.reporter.asked.count(
+                        message.model, message.output_tokens
+                    )
                 self.links.receive_dispatch(link, message)
             case messages.Cancel():
                 self.dispatcher.cancel(message.attempt)
@@ -341,9 +160,16 @@
                     process, link.peer.incarnation, message, _now()
                 )
             case messages.Loads():
-                self.directory.report(link.peer.instance, message, _now())
+                now, sender = _now(), link.peer.instance
+                self.directory.report(sender, message, now)
+                if link.peer.data_centre == self.hello.data_centre:
+                    self.shares.report(sender, message.accounts, now)
+                else:
+                    self.shares.report_centre(
+                        link.peer.data_centre, message.accounts, now
+                    )
             case messages.Suspects():
-                self.suspects.merge(message, _now())
+                self._merge_suspects(link, message)
             case messages.Claim():
                 self._spawn(self._answer_claim(link, message))
             case messages.Settle():
@@ -353,6 +179,23 @@
             case _:
                 self._receive_control(link, message)
 
+    def _merge_suspects(
+        self, link: links.Link, message: messages.Suspects
+    ) -> None:
+        """Takes over suspicions; passes those of other data centres on.
+
+        Only one instance here is linked to the sender's instance there.
+        """
+        now = _now()
+        news = [
+            entry
+            for entry in message.entries
+            if entry.crashes > self.suspects.crashes(entry.fingerprint, now)
+        ]
+        self.suspects.merge(message, now)
+        if news and link.peer.data_centre != self.hello.data_centre:
+            self.links.broadcast(messages.Suspects(news))
+
     def _receive_control(
         self, link: links.Link, message: messages.Message
     ) -> None:
@@ -361,6 +204,7 @@
         match message:
             case messages.Grant() | messages.Renewal():
                 if self.grants.receive(message):
+                    self._around.set_call_rate(self.grants.calls_per_s)
                     self.claim_writer.set_calls_per_s(self.grants.calls_per_s)
                     self.owned.apply()
             case messages.Snapshot() | messages.Delta():
@@ -394,7 +238,7 @@
             )
             if not isinstance(new, errors.Failure):
                 self.current = new
-        self.gateway.ready = self.state.fresh and not self._leaving
+        self.gateway.ready = self.state.fresh
 
     def _take_inventory(self, message: messages.InventoryUpdate) -> None:
         listed = inventory.parse(message.document)
@@ -402,7 +246,7 @@
             return
         self.directory.update_inventory(listed, message.version)
         owned = len(self.owned.engines)
-        self._adapter_loads.set_limit(adapters.share_of_limit(listed, owned))
+        self.adapter_loads.set_limit(adapters.share_of_limit(listed, owned))
         self.owned.update(listed.in_data_centre(self.hello.data_centre))
         self._peer_set.set_addresses(self._peer_addresses(listed))
 
@@ -430,7 +274,7 @@
     async def _beat(self) -> None:
         while True:
             self._send_heartbeat()
-            self.members.tick(_now())
+            self._close_silent_links()
             self._check_grant()
             await asyncio.sleep(membership.HEARTBEAT_INTERVAL_S)
 
@@ -439,69 +283,84 @@
         self._seq += 1
         beat = messages.Heartbeat(
             self._seq,
-            self.gateway.ready,
-            self._leaving,
+            self.ready,
+            self.leaving,
             self.state.revision,
             epoch=self.grants.epoch,
             grant_version=self.grants.version,
         )
         self.grants.heartbeat_sent(self._seq, now)
+        to_gateways = self._seq % BEATS_PER_GATEWAY_BEAT == 0
         for link in self._open:
-            if link.peer.data_centre == self.hello.data_centre:
+            near = link.peer.data_centre == self.hello.data_centre
+            if near or to_gateways:
                 link.offer(beat)
 
+    def _close_silent_links(self) -> None:
+        """Ends what waits for an instance that is dead or cut off."""
+        now = _now()
+        silent = self.links.silent_gateways(now)
+        for change in self.members.tick(now):
+            if change.event is membership.Event.DIED:
+                link = self.links.peers.get(change.process.instance)
+                if link is not None and change.process.role == ENTRY:
+                    silent.append(link)
+        for link in silent:
+            telemetry.log(
+                self._around.log,
+                "peer_silent",
+                level=logging.WARNING,
+                peer=link.peer.instance,
+            )
+            self._spawn(link.close())
+
     def _check_grant(self) -> None:
         """Asks for the configuration again after the grant has lapsed.
 
-        While no control process answers, the instance serves on with the
-        highest revision that it has.
+        The instance is not ready until a control process has answered. While
+        none is linked, it serves on with the highest revision that it has.
         """
         lapsed = self.grants.epoch and not self.grants.valid(_now())
         if lapsed and self.state.fresh and self._control:
             resync = self.state.expire()
+            self.gateway.ready = False
             for link in self._control.values():
                 link.offer(resync)
+        elif lapsed and not self._control and self.state.revision:
+            self.gateway.ready = True
+
+    async def _report(self) -> None:
+        await reporting.report(
+            self.reporter,
+            self.links.broadcast,
+            self._send_progress,
+            lambda: self.grants.epoch,
+            self._share_accounts,
+        )
 
-    async def _share_loads(self) -> None:
-        rounds = 0
-        while True:
-            await asyncio.sleep(LOADS_INTERVAL_S)
-            rounds += 1
-            if rounds % FULL_LOADS_EVERY == 0:
-                self.links.broadcast(self._full_loads())
-            else:
-                self._share_changes()
-            self._report_progress()
-
-    def _full_loads(self) -> messages.Loads:
-        loads = self.dispatcher.loads(self.owned.models_of)
-        self._last_loads = {load.target: load for load in loads}
-        return messages.Loads(self._seq, True, loads)
-
-    def _share_changes(self) -> None:
-        loads = self.dispatcher.loads(self.owned.models_of)
-        known = self._last_loads
-        changed = [x for x in loads if x != known.get(x.target)]
-        busy = [x for x in loads if x.in_flight and x not in changed]
-        self._last_loads = {load.target: load for load in loads}
-        if changed or busy:
-            # A busy target is reported even if unchanged: reports age.
-            update = messages.Loads(self._seq, False, changed + busy)
-            self.links.broadcast(update)
-
-    def _report_progress(self) -> None:
-        asked = self.demand.take(_now())
-        changed = []
-        for target, engine in self.owned.engines.items():
-            entry = engine.progress()
-            if entry != self._last_progress.get(target):
-                self._last_progress[target] = entry
-                changed.append(entry)
-        if changed or asked or self._had_demand:
-            report = messages.Progress(self.grants.epoch, changed, asked)
-            for link in self._control.values():
-                link.offer(report)
-        self._had_demand = bool(asked)
+    def _send_progress(self, progress: messages.Progress) -> None:
+        for link in self._control.values():
+            link.offer(progress)
+
+    def _share_accounts(self, accounts: dict[str, float]) -> None:
+        now, own = _now(), self.hello.instance
+        listed = self.directory.listed
+        self.shares.report(own, accounts, now)
+        ready = sorted({own, *self.members.usable(ENTRY, now)})
+        centres = len(listed.regions) if listed else 1
+        self.shares.rebalance(ready, max(1, centres), now)
+        self._reports += 1
+        if self._reports % REPORTS_PER_CENTRE_REPORT == 0:
+            busiest = self.shares.busiest(ready, now)
+            if busiest:
+                self._tell_other_centres(
+                    messages.Loads(self._seq, False, [], busiest)
+                )
+
+    def _tell_other_centres(self, message: messages.Message) -> None:
+        for link in self._open:
+            if link.peer.data_centre != self.hello.data_centre:
+                link.offer(message)
 
     async def _read_cache_events(self) -> None:
         while True:
@@ -523,7 +382,7 @@
         return {
             "instance": self.hello.instance,
             "data_centre": self.hello.data_centre,
-            "leaving": self._leaving,
+            "leaving": self.leaving,
             "revision": self.state.revision,
             "fresh": self.state.fresh,
             "epoch": self.grants.epoch,
@@ -545,9 +404,5 @@
         }
 
 
-def _unlimited() -> None:
-    """Gives nothing back."""
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -20,6 +20,8 @@
 )
 
 ENTRY = "entry"
+# Three heartbeats to other data centres, which are sent every 2 s.
+GATEWAY_SILENCE_S = 6.0
 
 
 class _LinkSink(attempts.Sink):
@@ -48,6 +50,7 @@
     __slots__ = (
         "_directory",
         "_dispatcher",
+        "_heard_at",
         "_metrics",
         "_owners",
         "_receivers",
@@ -86,6 +89,7 @@
         self._owners = owners
         self._route = policy
         self._metrics = metrics
+        self._heard_at: dict[links.Link, float] = {}
         # Attempts sent over each link that have not ended.
         self._under_way: dict[links.Link, dict[str, attempts.Receiver]] = {}
 
@@ -157,8 +161,21 @@
         else:
             self.gateways[link.peer.data_centre] = link
 
+    def heard(self, link: links.Link, now: float) -> None:
+        """Notes that a message came over a link."""
+        self._heard_at[link] = now
+
+    def silent_gateways(self, now: float) -> list[links.Link]:
+        """Returns the links to other data centres that went silent."""
+        return [
+            link
+            for link in self.gateways.values()
+            if now - self._heard_at.get(link, now) > GATEWAY_SILENCE_S
+        ]
+
     def lost(self, link: links.Link) -> None:
         """Ends the attempts under way over a link that broke."""
+        self._heard_at.pop(link, None)
         table = self.gateways
         name = link.peer.data_centre
         if name == self._directory.data_centre:
--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -10,15 +10,16 @@
 
 from carobsail import (
     attempts,
-    demand,
     directory,
     errors,
     estimation,
     exchange,
     messages,
+    reporting,
     requests,
     retries,
     routing,
+    suspects,
     telemetry,
 )
 
@@ -79,7 +80,6 @@
     """
 
     __slots__ = (
-        "_asked",
         "_budget",
         "_directory",
         "_lengths",
@@ -87,7 +87,9 @@
         "_numbers",
         "_policy",
         "_prefix",
+        "_reporter",
         "_rng",
+        "_suspects",
         "_transport",
         "receivers",
     )
@@ -99,7 +101,8 @@
         policy: routing.RoutingPolicy,
         transport: Transport,
         receivers: attempts.Receivers,
-        asked: demand.DemandCounter,
+        reporter: reporting.Reporter,
+        book: suspects.SuspectBook,
         metrics: telemetry.Metrics,
         rng: random.Random,
     ) -> None:
@@ -111,12 +114,14 @@
           policy: Routing policy.
           transport: Sends attempts.
           receivers: Receives their answers.
-          asked: Counts the demand for models.
+          reporter: Counts the demand for models and by accounts.
+          book: Crash suspicions.
           metrics: Counts and timings.
           rng: Source of the backoff's jitter.
         """
         self.receivers = receivers
-        self._asked = asked
+        self._reporter = reporter
+        self._suspects = book
         self._prefix = prefix
         self._directory = targets
         self._policy = policy
@@ -152,7 +157,8 @@
         self._budget.count_request(account)
         request = subject.request
         if request.model:
-            self._asked.count(request.model, self._expect(request))
+            self._reporter.asked.count(request.model, self._expect(request))
+        self._reporter.accounts.count(account, 0.0)
         excluded: set[str] = set()
         while True:
             result = await self._attempt(subject, frozenset(excluded), delivery)
@@ -235,12 +241,27 @@
             answer_bytes=int(tokens * directory.BYTES_PER_TOKEN),
             excluded=excluded,
         )
+        verdict = self._suspects.verdict(request.fingerprint, now)
+        if isinstance(verdict, errors.Failure):
+            return verdict
+        if verdict is suspects.Verdict.ALONE:
+            views = self._quarantine(request, views)
         chosen = self._policy.choose(route, views, now)
         if isinstance(chosen, errors.Failure) and excluded:
             route = dataclasses.replace(route, excluded=frozenset())
             chosen = self._policy.choose(route, views, now)
+        if not isinstance(chosen, errors.Failure) and chosen.path is None:
+            self._directory.assume_cached(chosen.name, demand)
         return chosen
 
+    def _quarantine(
+        self, request: requests.CallerRequest, views: list[routing.TargetView]
+    ) -> list[routing.TargetView]:
+        """Returns the one target that reruns a crash suspect."""
+        near = {v.name: v for v in views if v.path is None and v.serving}
+        name = suspects.quarantine_target(request.fingerprint, sorted(near))
+        return [near[name]] if name is not None else views
+
     def _expect(self, request: requests.CallerRequest) -> float:
         return self._lengths.expect(
             request.policy.account,
--- a/carobsail/messages.py
+++ b/carobsail/messages.py
@@ -173,11 +173,19 @@
 
 
 class Loads(Message, tag="loads", frozen=True):
-    """Changed loads of the sender's targets, once a second at most."""
+    """Changed loads of the sender's targets, once a second at most.
+
+    Attributes:
+      seq: Number of the report.
+      full: Whether all targets of the sender are included.
+      targets: Loads of targets.
+      accounts: Requests a second of each client account at the sender.
+    """
 
     seq: int
     full: bool
     targets: list[TargetLoad]
+    accounts: dict[str, float] = {}
 
 
 class SuspectEntry(Message, frozen=True):
--- /dev/null
+++ b/carobsail/reporting.py
@@ -0,0 +1,128 @@
+"""What an entry instance reports: loads to peers, progress to the leader."""
+
+import asyncio
+from collections.abc import Callable
+
+from carobsail import demand, dispatcher, messages, ownedtargets
+
+INTERVAL_S = 1.0
+# All loads are repeated now and then, so that a lost change does not stay
+# lost.
+FULL_LOADS_EVERY = 10
+
+
+class Reporter:
+    """Finds what changed since the last report.
+
+    Attributes:
+      asked: Demand for models at this instance.
+      accounts: Demand of client accounts at this instance.
+    """
+
+    __slots__ = (
+        "_dispatcher",
+        "_had_demand",
+        "_loads",
+        "_owned",
+        "_progress",
+        "_rounds",
+        "accounts",
+        "asked",
+    )
+
+    def __init__(
+        self,
+        owned: ownedtargets.OwnedTargets,
+        running: dispatcher.Dispatcher,
+        now: float,
+    ) -> None:
+        """Creates a reporter that has reported nothing."""
+        self.asked = demand.DemandCounter(now)
+        self.accounts = demand.DemandCounter(now)
+        self._owned = owned
+        self._dispatcher = running
+        self._loads: dict[str, messages.TargetLoad] = {}
+        self._progress: dict[str, messages.TargetProgress] = {}
+        self._had_demand = False
+        self._rounds = 0
+
+    def full_loads(self) -> messages.Loads:
+        """Returns the loads of all owned targets."""
+        loads = self._dispatcher.loads(self._owned.models_of)
+        self._loads = {load.target: load for load in loads}
+        return messages.Loads(self._rounds, True, loads)
+
+    def next_loads(self, accounts: dict[str, float]) -> messages.Loads | None:
+        """Returns the loads to report now, or None.
+
+        A busy target is reported even if its load is the same, because
+        reports age.
+
+        Args:
+          accounts: Requests a second of each client account here.
+        """
+        self._rounds += 1
+        if self._rounds % FULL_LOADS_EVERY == 0:
+            full = self.full_loads()
+            return messages.Loads(full.seq, True, full.targets, accounts)
+        loads = self._dispatcher.loads(self._owned.models_of)
+        due = [
+            load
+            for load in loads
+            if load.in_flight or load != self._loads.get(load.target)
+        ]
+        self._loads = {load.target: load for load in loads}
+        if not due and not accounts:
+            return None
+        return messages.Loads(self._rounds, False, due, accounts)
+
+    def next_progress(self, epoch: int, now: float) -> messages.Progress | None:
+        """Returns the progress to report now, or None."""
+        asked = self.asked.take(now)
+        changed = []
+        for target, engine in self._owned.engines.items():
+            entry = engine.progress()
+            if entry != self._progress.get(target):
+                self._progress[target] = entry
+                changed.append(entry)
+        if not changed and not asked and not self._had_demand:
+            return None
+        self._had_demand = bool(asked)
+        return messages.Progress(epoch, changed, asked)
+
+    def repeat_progress(self) -> None:
+        """Reports everything again, because the leader's link is new."""
+        self._progress.clear()
+
+
+async def report(
+    reporter: Reporter,
+    send_loads: Callable[[messages.Loads], None],
+    send_progress: Callable[[messages.Progress], None],
+    epoch: Callable[[], int],
+    share_accounts: Callable[[dict[str, float]], None],
+) -> None:
+    """Reports once a second until cancelled.
+
+    Args:
+      reporter: Finds what to report.
+      send_loads: Sends loads to the other instances.
+      send_progress: Sends progress to control processes.
+      epoch: Returns the epoch of the grant.
+      share_accounts: Takes the requests a second of each account here.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        await asyncio.sleep(INTERVAL_S)
+        now = loop.time()
+        accounts = {
+            name: rate
+            for name, (rate, _) in reporter.accounts.take(now).items()
+        }
+        share_accounts(accounts)
+        loads = reporter.next_loads(accounts)
+        if loads is not None:
+            send_loads(loads)
+        progress = reporter.next_progress(epoch(), now)
+        if progress is not None:
+            send_progress(progress)
--- a/carobsail/standin_engine.py
+++ b/carobsail/standin_engine.py
@@ -250,7 +250,8 @@
             return
         attempt = request.header("x-request-id") or f"local-{id(request)}"
         count = int(body.get("max_tokens", _DEFAULT_TOKENS))
-        generation = Generation(request.body, prompt, count, model)
+        adapter = name if name != model else ""
+        generation = Generation(request.body, prompt, count, model, adapter)
         priority = int(request.header("x-priority") or 5)
         self._generations[attempt] = generation
         self._tasks[attempt] = asyncio.create_task(
--- a/carobsail/standin_generation.py
+++ b/carobsail/standin_generation.py
@@ -9,9 +9,8 @@
 import msgspec
 import xxhash
 
-from carobsail import engines, inventory
+from carobsail import engines, inventory, prefixes
 
-BLOCK_CHARACTERS = 256
 _CHARACTERS_PER_TOKEN = 4
 _CACHE_EVENTS = 4096
 
@@ -46,11 +45,11 @@
         )
         self._sequence = 0
 
-    def insert(self, prompt: str, incarnation: int) -> int:
+    def insert(
+        self, prompt: str, incarnation: int, model: str = "", adapter: str = ""
+    ) -> int:
         """Stores a prompt; returns the tokens that were cached before."""
-        hashes = []
-        for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
-            hashes.append(xxhash.xxh64_intdigest(prompt[:end].encode()))
+        hashes = prefixes.hash_blocks(model, adapter, prompt.encode())
         new = [block for block in hashes if block not in self._blocks]
         for block in hashes:
             self._blocks[block] = None
@@ -61,7 +60,7 @@
         self._emit("stored", new, incarnation)
         self._emit("removed", removed, incarnation)
         cached = len(hashes) - len(new)
-        return cached * BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
+        return cached * prefixes.BLOCK_BYTES // _CHARACTERS_PER_TOKEN
 
     def clear(self, incarnation: int) -> None:
         """Forgets all blocks."""
@@ -99,13 +98,22 @@
       done: Whether the answer is complete.
       stopped: Whether it was cancelled before it was complete.
       model: Resident model that serves it.
+      adapter: Adapter that it uses, or empty.
     """
 
-    def __init__(self, body: bytes, prompt: str, count: int, model: str):
+    def __init__(
+        self,
+        body: bytes,
+        prompt: str,
+        count: int,
+        model: str,
+        adapter: str = "",
+    ):
         self.tokens: list[str] = []
         self.done = False
         self.stopped = False
         self.model = model
+        self.adapter = adapter
         self.prompt = prompt
         self.prompt_tokens = max(1, len(prompt) // _CHARACTERS_PER_TOKEN)
         self.wanted = answer_tokens(body, count)
@@ -195,7 +203,12 @@
     async def generate(self, generation: Generation, incarnation: int) -> None:
         """Generates an answer in a slot that was entered."""
         async with self._prefill:
-            cached = self._cache.insert(generation.prompt, incarnation)
+            cached = self._cache.insert(
+                generation.prompt,
+                incarnation,
+                generation.model,
+                generation.adapter,
+            )
             tokens = max(0, generation.prompt_tokens - cached)
             await self._work(tokens / self._target.prefill_tokens_per_s)
         for token in generation.wanted:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,17 +9,20 @@
 
 from carobsail import (
     attempts,
-    demand,
     directory,
     dispatcher,
     errors,
     estimation,
     exchange,
     forwarder,
+    grants,
     inventory,
     messages,
+    ownedtargets,
     prefixes,
+    reporting,
     routing,
+    suspects,
     telemetry,
 )
 
@@ -110,7 +113,14 @@
         routing.create("least_outstanding", random.Random(1)),
         transport,
         receivers,
-        demand.DemandCounter(0.0),
+        reporting.Reporter(
+            ownedtargets.OwnedTargets(
+                dispatcher.Dispatcher(), grants.GrantHolder(), None, None
+            ),
+            dispatcher.Dispatcher(),
+            0.0,
+        ),
+        suspects.SuspectBook("entry-1"),
         telemetry.Metrics(),
         random.Random(1),
     )
