Load a new model version before the old one leaves

Cause: plans, reports and homes name a version, routing names the model; a version change would have dropped the old version at once, and a busy model never drained, because later requests were counted with it. Change: homes and residency go by name, plans by version; the planner keeps the old version until the new one is resident; draining counts the requests sent before the model left; the stand-in keeps versions apart.

--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -144,8 +144,10 @@
     __slots__ = (
         "_adopted",
         "_client",
+        "_directory",
         "_ended",
         "_grants",
+        "_leaving_since",
         "_report",
         "_runner",
         "_target",
@@ -182,16 +184,18 @@
         self._client = client
         self._grants = holder
         self._runner = runner
+        self._directory = targets
         self._report: engines.EngineReport | None = None
         self._adopted = 0
         self._ended = False
+        self._leaving_since: dict[str, float] = {}
         self.gate: PoolGate = PoolGate(
             adapters.AdapterPool(target, loads), client, holder, targets
         )
         guards = orders.Guards(
             may_order=self._may_order,
-            may_unload=lambda m: targets.has_other_copy(m, target.name),
-            drained=lambda model: not runner.flights.uses(model),
+            may_unload=self._may_unload,
+            drained=self._drained,
             permit=permit,
             size_mb=targets.size_mb,
         )
@@ -202,8 +206,28 @@
         owns = self._grants.owns(self._target.name, now)
         return owns and not self._ended and self._grants.may_order(now)
 
+    def _may_unload(self, model: str) -> bool:
+        """Tells whether the model stays reachable without this copy."""
+        name = _name_of(model)
+        others = (m for m in self._resident() if m != model)
+        if any(_name_of(other) == name for other in others):
+            return True  # Another version of it is resident here.
+        return self._directory.has_other_copy(name, self._target.name)
+
+    def _drained(self, model: str) -> bool:
+        """Tells whether the requests sent before a model left have ended.
+
+        Later ones run on another version of the model, if there are any.
+        """
+        since = self._leaving_since.setdefault(model, _now())
+        return not self._runner.flights.uses(_name_of(model), since)
+
     def models(self) -> list[str]:
-        """See base class.
+        """See base class."""
+        return sorted({_name_of(model) for model in self._resident()})
+
+    def _resident(self) -> set[str]:
+        """Returns the model versions to which requests may be sent.
 
         Models that the latest report lists are served as well: a new owner
         need not wait for the settling of its ledger to send requests.
@@ -216,12 +240,12 @@
                 for model in self._report.models
                 if book.hold_of(model) is not ledger.Hold.UNLOADING
             )
-        return sorted(found - self.orders.leaving)
+        return found - self.orders.leaving
 
     def progress(self) -> messages.TargetProgress:
         """See base class."""
         book = self.orders.ledger
-        resident = self.models()
+        resident = sorted(self._resident())
         held = book.intents()
         reserved = sorted(set(held) - set(resident))
         return messages.TargetProgress(
@@ -271,11 +295,17 @@
                 return
             self._adopted = epoch
         await self.orders.step()
+        for model in self._leaving_since.keys() - self.orders.leaving:
+            del self._leaving_since[model]
 
     def end(self) -> None:
         """See base class."""
         self._ended = True
 
 
+def _name_of(model: str) -> str:
+    return orders.split_version(model)[0]
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/flights.py
+++ b/carobsail/flights.py
@@ -22,6 +22,7 @@
       request: The request.
       task: Task that relays the answer.
       crashes_at_start: Crashes known of the request when it was sent.
+      started_at: Loop time of sending, in seconds.
       progress_at: Loop time of the last byte, in seconds.
       stalled: Whether it was cancelled because nothing came.
     """
@@ -29,6 +30,7 @@
     request: messages.Dispatch
     task: asyncio.Task[object]
     crashes_at_start: int
+    started_at: float
     progress_at: float
     stalled: bool = False
 
@@ -61,10 +63,11 @@
         flights = self._by_attempt.values()
         return [(f.request.fingerprint, f.crashes_at_start) for f in flights]
 
-    def uses(self, model: str) -> bool:
-        """Tells whether an attempt of the model is under way."""
+    def uses(self, model: str, started_before: float) -> bool:
+        """Tells whether an attempt of a model was sent before a time."""
         return any(
             flight.request.model == model
+            and flight.started_at <= started_before
             for flight in self._by_attempt.values()
         )
 
--- a/carobsail/homes.py
+++ b/carobsail/homes.py
@@ -39,10 +39,11 @@
 
     Args:
       listed: The whole inventory.
-      copies: Copies wanted of each model.
+      copies: Copies wanted of each model by name.
 
     Returns:
-      The home engines of each model; fewer than wanted when memory is short.
+      The home engines of each model's present version; fewer than wanted
+      when memory is short.
     """
     engines = [
         target
@@ -58,7 +59,7 @@
     for target in engines:
         pools.setdefault(target.pool, []).append(target)
     models = sorted(
-        (m for m in listed.models if planning.model_id(m) in copies),
+        (m for m in listed.models if m.name in copies),
         key=lambda m: (-m.weights_mb, m.name),
     )
     found: dict[str, list[inventory.Target]] = {
@@ -66,10 +67,12 @@
     }
     for number in range(1, max(copies.values(), default=0) + 1):
         for model in models:
-            name = planning.model_id(model)
-            if copies[name] >= number:
+            if copies[model.name] >= number:
                 _add_home(
-                    model, found[name], pools.get(model.pool, []), free_mb
+                    model,
+                    found[planning.model_id(model)],
+                    pools.get(model.pool, []),
+                    free_mb,
                 )
     return found
 
--- a/carobsail/orders.py
+++ b/carobsail/orders.py
@@ -40,6 +40,13 @@
     return name, version or DEFAULT_VERSION
 
 
+def join_version(model: str, version: str) -> str:
+    """Returns the identifier of a model's version; undoes `split_version`."""
+    if version in ("", DEFAULT_VERSION):
+        return model
+    return f"{model}@{version}"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Guards:
     """Questions that are asked before an order.
--- a/carobsail/planner.py
+++ b/carobsail/planner.py
@@ -11,6 +11,7 @@
     homes,
     inventory,
     messages,
+    orders,
     placement,
     planning,
     policies,
@@ -140,7 +141,17 @@
         local = self._local(situation, now)
         at_home = self._start_from_homes(situation, local)
         residency = self._residency(situation)
-        averages = {m: a.demand() for m, a in self._averages.items()}
+        local = self._with_old_versions(situation, local)
+        names = {planning.model_id(m): m.name for m in local.models}
+        averages = {
+            model: self._averages[name].demand()
+            for model, name in names.items()
+            if name in self._averages
+        }
+        old = names.keys() - {
+            planning.model_id(m) for m in situation.listed.models
+        }
+        at_home |= old
         visiting = [
             model
             for model, average in averages.items()
@@ -232,16 +243,36 @@
             )
         return at_home
 
+    def _with_old_versions(
+        self, situation: Situation, local: inventory.Inventory
+    ) -> inventory.Inventory:
+        """Adds resident versions whose successors are not resident yet."""
+        resident = {
+            model
+            for entry in situation.progress.values()
+            for model in entry.resident
+        }
+        present = {m.name: m for m in local.models}
+        old = []
+        for model in sorted(resident):
+            name, version = orders.split_version(model)
+            listed = present.get(name)
+            if listed is None or planning.model_id(listed) in resident:
+                continue
+            old.append(msgspec.structs.replace(listed, version=version))
+        return msgspec.structs.replace(local, models=[*local.models, *old])
+
     def _resident(self, situation: Situation, target: str) -> list[str]:
         entry = situation.progress.get(target)
         return entry.resident if entry else []
 
     def _residency(self, situation: Situation) -> dict[str, dict[str, int]]:
-        sizes = {
-            planning.model_id(m): m.weights_mb for m in situation.listed.models
-        }
+        sizes = {m.name: m.weights_mb for m in situation.listed.models}
         return {
-            name: {model: sizes.get(model, 0) for model in entry.resident}
+            name: {
+                model: sizes.get(orders.split_version(model)[0], 0)
+                for model in entry.resident
+            }
             for name, entry in situation.progress.items()
         }
 
@@ -275,14 +306,21 @@
             plans.append(plan)
         self._give_back(len(self._loading - loading))
         self._loading = loading
-        candidates.sort(key=lambda c: (c[1] in resident, c[1], c[0]))
+        candidates.sort(
+            key=lambda c: (
+                orders.split_version(c[1])[0] in resident,
+                c[1],
+                c[0],
+            )
+        )
         self._start_loads(candidates, resident, now)
         return [self._allowed(plan, situation) for plan in plans]
 
     def _reachable(self, situation: Situation) -> set[str]:
+        """Returns the names of models with a copy of any version."""
         found = set(situation.elsewhere)
         for entry in situation.progress.values():
-            found.update(entry.resident)
+            found.update(orders.split_version(m)[0] for m in entry.resident)
         return found
 
     def _start_loads(
@@ -295,7 +333,8 @@
         for target, model in candidates:
             # Two data centres may be home of a model that neither has yet:
             # the first home recovers it.
-            recovery = model not in resident and model in self._first_homes
+            lost = orders.split_version(model)[0] not in resident
+            recovery = lost and model in self._first_homes
             if target in busy or not self._permit(recovery, now):
                 continue
             busy.add(target)
--- a/carobsail/planning.py
+++ b/carobsail/planning.py
@@ -63,9 +63,7 @@
 
 def model_id(model: inventory.Model) -> str:
     """Returns the name of a model's version in plans and reports."""
-    if model.version == orders.DEFAULT_VERSION:
-        return model.name
-    return f"{model.name}@{model.version}"
+    return orders.join_version(model.name, model.version)
 
 
 class EngineState:
--- a/carobsail/residency.py
+++ b/carobsail/residency.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carobsail import errors, keyvalue, messages
+from carobsail import errors, keyvalue, messages, orders
 
 WRITE_INTERVAL_S = 2.0
 _ROOT = "/carobsail/dc/"
@@ -104,7 +104,9 @@
           now: Loop time in seconds.
         """
         counted = collections.Counter(
-            model for entry in progress for model in entry.resident
+            orders.split_version(model)[0]
+            for entry in progress
+            for model in entry.resident
         )
         counted.update(services)
         models = dict(sorted(counted.items()))
--- a/carobsail/standin_engine.py
+++ b/carobsail/standin_engine.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from carobsail import engines, httpserver, inventory, standin_platform
+from carobsail import (
+    engines,
+    httpserver,
+    inventory,
+    orders,
+    standin_platform,
+)
 from carobsail.standin_generation import (
     Answer,
     Generation,
@@ -188,21 +194,22 @@
         self, request: httpserver.Request, responder: httpserver.Responder
     ) -> None:
         memory = self.memory
-        orders = {
+        carriers = {
             "/v1/load_model": (memory.load_model, "model"),
             "/v1/unload_model": (memory.unload_model, "model"),
             "/v1/load_lora_adapter": (memory.load_adapter, "lora_name"),
             "/v1/unload_lora_adapter": (memory.unload_adapter, "lora_name"),
         }
-        if request.path not in orders:
+        if request.path not in carriers:
             await _send(responder, 404, {"reason": "unknown_path"})
             return
         if self.lose_orders:
             self.lose_orders -= 1
             await responder.disconnected.wait()
             return
-        carry_out, key = orders[request.path]
+        carry_out, key = carriers[request.path]
         body = msgspec.json.decode(request.body)
+        name = orders.join_version(body[key], body.get("version", ""))
         times = 2 if self.double_orders else 1
         self.double_orders -= times - 1
         delay_s = self.order_delay_s
@@ -213,7 +220,7 @@
                 await asyncio.sleep(delay_s)
                 if not memory.admit(body.get("fence", 0)):
                     return "fenced"
-                result = await carry_out(body[key])
+                result = await carry_out(name)
             return result
 
         # An order takes effect even when its sender has left.
--- a/carobsail/standin_memory.py
+++ b/carobsail/standin_memory.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import Callable
 
-from carobsail import inventory, standin_platform
+from carobsail import inventory, orders, standin_platform
 
 OK = "ok"
 
@@ -84,12 +84,13 @@
 
     def model_of(self, name: str) -> str | None:
         """Returns the resident model that serves a model or adapter name."""
-        if name in self.models:
-            return name
+        base = name
         if name in self.adapters:
-            model = self._known_adapters[name].model
-            return model if model in self.models else None
-        return None
+            base = self._known_adapters[name].model
+        versions = [
+            m for m in self.models if orders.split_version(m)[0] == base
+        ]
+        return max(versions, default=None)
 
     def use(self, model: str) -> None:
         """Keeps a model from being unloaded until `release`."""
@@ -116,11 +117,16 @@
         return True
 
     async def load_model(self, name: str) -> str:
-        """Loads a model; a model that is resident or loading stays."""
-        if name not in self._known:
+        """Loads a model; a model that is resident or loading stays.
+
+        Args:
+          name: Model name, with `@version` unless it is the first version.
+        """
+        known = self._known.get(orders.split_version(name)[0])
+        if known is None:
             return "unknown_model"
         self.orders["load_model"] += 1
-        size_mb = self._known[name].weights_mb
+        size_mb = known.weights_mb
         if name in self.models:
             return OK
         if name not in self.loading:
--- a/carobsail/targetrunner.py
+++ b/carobsail/targetrunner.py
@@ -283,7 +283,7 @@
         task = asyncio.current_task()
         assert task is not None
         crashes = self._shared.suspects.crashes(request.fingerprint, now)
-        flight = flights.Flight(request, task, crashes, now)
+        flight = flights.Flight(request, task, crashes, now, now)
         self.flights.add(flight)
         try:
             failure = await self._relay(flight, sink)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,160 @@
+"""Guards homes, paced loads and version changes of the planner (R1, R2)."""
+
+import builders
+
+from carobsail import (
+    deployments,
+    homes,
+    inventory,
+    messages,
+    planner,
+    planning,
+    weightstore,
+)
+
+LISTED = deployments.VALTELLINA.build_inventory(deployments.PortSource(1))
+NAMES = [model.name for model in LISTED.models]
+CENTRES = list(LISTED.regions)
+
+
+def build_policies(names=NAMES, copies=1):
+    """Returns one policy that uses the models."""
+    return [builders.build_policy(models=list(names), copies=copies)]
+
+
+class Centre:
+    """A data centre whose engines carry out plans at once."""
+
+    def __init__(self, name, listed=LISTED):
+        self.name = name
+        self.listed = listed
+        self.planner = planner.DataCentrePlanner(
+            name, planning.Weights(), copies=1
+        )
+        self.book = weightstore.ShareBook(name, listed.weight_store)
+        self.planner.use_share(self.book)
+        self.resident = {
+            target.name: []
+            for target in listed.in_data_centre(name)
+            if target.kind is inventory.Kind.ENGINE
+        }
+        self.healthy = dict.fromkeys(self.resident, True)
+        self.most_loading = 0
+
+    def progress(self):
+        return {
+            name: messages.TargetProgress(name, models, [], self.healthy[name])
+            for name, models in self.resident.items()
+        }
+
+    def run(self, policies, start=0.0, rounds=40, demand=None):
+        for number in range(rounds):
+            now = start + number * 0.5
+            self.book.written(weightstore.Share(1000.0, 12, 12), now)
+            situation = planner.Situation(
+                self.listed, self.progress(), policies, demand or {}
+            )
+            plans = self.planner.plan(situation, now)
+            loading = 0
+            for plan in plans:
+                new = set(plan.models) - set(self.resident[plan.target])
+                loading += len(new)
+                if self.healthy[plan.target]:
+                    self.resident[plan.target] = list(plan.models)
+            self.most_loading = max(self.most_loading, loading)
+
+    def models(self):
+        return {m for models in self.resident.values() for m in models}
+
+
+def test_leaders_agree_on_homes_for_every_model():
+    """R2: without agreement a model could be at home nowhere."""
+    copies = homes.count_copies(build_policies(), default=1)
+    found = homes.assign_homes(LISTED, copies)
+    assert set(found) == set(NAMES)
+    assert all(len(engines) == 1 for engines in found.values())
+
+
+def test_second_homes_are_in_other_data_centres_and_fit():
+    """R1, R2: a lost data centre must not take both copies of a model."""
+    copies = homes.count_copies(build_policies(copies=2), default=1)
+    found = homes.assign_homes(LISTED, copies)
+    sizes = {m.name: m.weights_mb for m in LISTED.models}
+    held = {}
+    for model, engines in found.items():
+        assert engines
+        centres = [t.data_centre for t in engines]
+        assert len(set(centres)) == len(centres)
+        for target in engines:
+            held[target.name] = held.get(target.name, 0) + sizes[model]
+    for target in LISTED.targets:
+        fixed = target.adapter_pool_mb + target.cache_floor_mb
+        assert held.get(target.name, 0) <= max(0, target.capacity_mb - fixed)
+
+
+def test_lost_engine_moves_only_its_own_models():
+    """R10: a failed engine must not set off loads everywhere."""
+    copies = homes.count_copies(build_policies(), default=1)
+    before = homes.assign_homes(LISTED, copies)
+    lost = "scrivano-engine-1"
+    kept = [t for t in LISTED.targets if t.name != lost]
+    listed = inventory.Inventory(
+        2, LISTED.regions, [], kept, LISTED.models, [], LISTED.weight_store
+    )
+    after = homes.assign_homes(listed, copies)
+    moved = [m for m in NAMES if before[m][0].name != after[m][0].name]
+    was_there = [m for m in NAMES if before[m][0].name == lost]
+    assert set(was_there) <= set(moved)
+    assert len(moved) <= len(was_there) + 2
+
+
+def test_all_data_centres_together_load_every_model():
+    """R2: each model in use becomes resident at its home."""
+    centres = [Centre(name) for name in CENTRES]
+    for centre in centres:
+        centre.run(build_policies())
+        assert centre.planner.refusal is None
+        assert centre.most_loading <= len(centre.resident)
+    assert set().union(*(c.models() for c in centres)) == set(NAMES)
+
+
+def test_dead_engine_is_planned_around():
+    """R2: the models of an engine that stays away get another copy."""
+    centre = Centre("sondrio-a")
+    centre.run(build_policies())
+    scrivano = [n for n in centre.resident if n.startswith("scrivano")]
+    dead = next(n for n in scrivano if centre.resident[n])
+    lost = centre.resident[dead]
+    assert lost
+    centre.healthy[dead] = False
+    centre.resident[dead] = []
+    centre.run(build_policies(), start=100.0, rounds=60)
+    assert set(lost) <= centre.models()
+
+
+def test_new_version_is_loaded_before_the_old_one_leaves():
+    """R2: a version change must not make a model unreachable."""
+    centre = Centre("sondrio-a")
+    centre.run(build_policies())
+    name = next(iter(centre.models()))
+    changed = [
+        inventory.Model(m.name, m.pool, m.weights_mb, "2")
+        if m.name == name
+        else m
+        for m in LISTED.models
+    ]
+    centre.listed = inventory.Inventory(
+        2,
+        LISTED.regions,
+        [],
+        LISTED.targets,
+        changed,
+        [],
+        LISTED.weight_store,
+    )
+    seen = []
+    for number in range(40):
+        centre.run(build_policies(), start=100.0 + number, rounds=1)
+        seen.append(centre.models() & {name, f"{name}@2"})
+    assert all(seen)
+    assert seen[-1] == {f"{name}@2"}
