Keep admitted requests when a target moves to another owner

Cause: a planned stop refused requests that waited for a slot, and a target that came back while a request ran had no models any more. Change: an admitted request runs on after its target moved; ownership attaches the engine again; stopping ends orders, not serving.

--- a/carobsail/ownedtargets.py
+++ b/carobsail/ownedtargets.py
@@ -175,25 +175,27 @@
                 continue
             runner = self._dispatcher.runners.get(name)
             if runner is None:
-                self._take(target)
-            else:
-                runner.owned = True
+                runner = self._new_runner(target)
+                self._dispatcher.runners[name] = runner
+            runner.owned = True
+            is_engine = target.kind is inventory.Kind.ENGINE
+            if is_engine and name not in self.engines:
+                self._take_engine(target, runner)
         for name in list(self._dispatcher.runners):
             if not self._grants.assigned(name) or name not in self._targets:
                 self._give_up(name)
 
-    def _take(self, target: inventory.Target) -> None:
-        runner = self._new_runner(target)
-        self._dispatcher.runners[target.name] = runner
-        if target.kind is inventory.Kind.ENGINE:
-            engine = self._new_engine(target, runner)
-            self.engines[target.name] = engine
-            plan = self._plans.get(target.name)
-            if plan is not None:
-                engine.want(plan)
-            self._tasks[target.name] = asyncio.create_task(
-                self._work(target.name, engine, runner)
-            )
+    def _take_engine(
+        self, target: inventory.Target, runner: targetrunner.TargetRunner
+    ) -> None:
+        engine = self._new_engine(target, runner)
+        self.engines[target.name] = engine
+        plan = self._plans.get(target.name)
+        if plan is not None:
+            engine.want(plan)
+        self._tasks[target.name] = asyncio.create_task(
+            self._work(target.name, engine, runner)
+        )
 
     def _give_up(self, name: str) -> None:
         """Sends no new request or order; those in flight finish."""
@@ -240,9 +242,9 @@
         return engine.models() if engine else []
 
     def stop(self) -> None:
-        """Ends all ownership; requests in flight are not touched."""
-        for name in list(self.engines):
-            task = self._tasks.pop(name, None)
-            if task is not None:
-                task.cancel()
-            self.engines.pop(name).end()
+        """Sends no more orders; requests in flight are not touched."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
+        for engine in self.engines.values():
+            engine.end()
--- a/carobsail/targetrunner.py
+++ b/carobsail/targetrunner.py
@@ -148,13 +148,24 @@
             )
 
     def _check(self, request: messages.Dispatch) -> errors.Failure | None:
+        """Refuses a request that arrives where it cannot be run."""
         if not self.owned:
             return self._refuse(errors.Reason.NOT_OWNER)
+        return self._check_admitted(request)
+
+    def _check_admitted(
+        self, request: messages.Dispatch
+    ) -> errors.Failure | None:
+        """Refuses a request that waited, if its target cannot run it now.
+
+        One that was admitted before the target moved to another owner still
+        runs here, so that a planned stop sends nobody away.
+        """
         if self.target.state is inventory.State.LEAVING:
             return self._refuse(errors.Reason.LEAVING)
         if not self.healthy:
             return self._refuse(errors.Reason.NOT_READY)
-        if request.model and not self._serves(request.model):
+        if self.owned and request.model and not self._serves(request.model):
             return self._refuse(errors.Reason.NO_TARGET)
         return None
 
@@ -270,7 +281,7 @@
             failure = await asyncio.shield(loading)
             if failure is not None:
                 return failure
-        refused = self._check(request)  # It may have changed meanwhile.
+        refused = self._check_admitted(request)
         if refused is not None:
             return refused
         return await self._send(request, sink)
--- /dev/null
+++ b/tests/test_ownedtargets.py
@@ -0,0 +1,126 @@
+"""Guards the ownership of targets at an entry instance (R1, R2, R6)."""
+
+import asyncio
+
+import fakes
+import pytest
+
+from carobsail import (
+    dispatcher,
+    engines,
+    grants,
+    inventory,
+    messages,
+    ownedtargets,
+)
+
+pytestmark = pytest.mark.looptime
+
+
+class FakeOwnedEngine(ownedtargets.OwnedEngine):
+    """Counts rounds of work and keeps plans."""
+
+    def __init__(self):
+        self.rounds = 0
+        self.plan = None
+        self.ended = False
+
+    def models(self):
+        return ["draft"]
+
+    def progress(self):
+        return messages.TargetProgress("engine-1", ["draft"], [])
+
+    def want(self, plan):
+        self.plan = plan
+
+    async def work(self):
+        self.rounds += 1
+        return engines.EngineReport("engine-1", 1, 0, {}, {}, {}, 0, 0)
+
+    def end(self):
+        self.ended = True
+
+
+def grant(targets, epoch=1):
+    """Returns the grant of targets that answers heartbeat 1."""
+    return messages.Grant(epoch, 3.0, targets, {}, True, 1.0, 1)
+
+
+def build():
+    """Returns owned targets with one listed engine, and what was created."""
+    holder = grants.GrantHolder()
+    holder.heartbeat_sent(1, 0.0)
+    created = []
+
+    def create(target, runner):
+        created.append(FakeOwnedEngine())
+        return created[-1]
+
+    running = dispatcher.Dispatcher()
+    owned = ownedtargets.OwnedTargets(
+        running,
+        holder,
+        lambda target: fakes.build_runner(fakes.FakeSender(), target),
+        create,
+    )
+    owned.update([fakes.build_target()])
+    return owned, holder, running, created
+
+
+async def test_target_that_comes_back_is_served_again():
+    """R2: a target returned while a request ran had no models any more."""
+    owned, holder, running, created = build()
+    holder.receive(grant(["engine-1"]))
+    owned.apply()
+    slow = fakes.FakeStream([5.0, *fakes.EVENTS])
+    running.runners["engine-1"]._sender.script.append(slow)
+    running.dispatch(fakes.build_dispatch(), fakes.Collector())
+    await asyncio.sleep(1.0)
+    holder.receive(grant([], epoch=2))
+    owned.apply()
+    assert owned.models_of("engine-1") == []
+    assert created[0].ended
+    holder.receive(grant(["engine-1"], epoch=3))
+    owned.apply()
+    assert owned.models_of("engine-1") == ["draft"]
+    assert running.runners["engine-1"].owned
+    await running.drain()
+    owned.stop()
+
+
+async def test_plan_of_another_epoch_is_ignored():
+    """R1: the plan of a deposed leader must not cause orders."""
+    owned, holder, _, created = build()
+    holder.receive(grant(["engine-1"], epoch=2))
+    owned.apply()
+    old = messages.TargetPlan("engine-1", ["old"], "mixed")
+    owned.plan(messages.Plan(1, [old]))
+    assert created[0].plan is None
+    new = messages.TargetPlan("engine-1", ["new"], "mixed")
+    owned.plan(messages.Plan(2, [new]))
+    assert created[0].plan == new
+    owned.stop()
+
+
+async def test_leaving_target_is_seen_by_its_runner():
+    """R6: the inventory's state must reach the runner."""
+    owned, holder, running, _ = build()
+    holder.receive(grant(["engine-1"]))
+    owned.apply()
+    owned.update([fakes.build_target(state=inventory.State.LEAVING)])
+    assert not running.runners["engine-1"].serving
+    owned.stop()
+
+
+async def test_no_order_is_sent_after_the_stop():
+    """R7, R1: a stopped owner must leave its engines to the next one."""
+    owned, holder, _, created = build()
+    holder.receive(grant(["engine-1"]))
+    owned.apply()
+    await asyncio.sleep(2.5)
+    owned.stop()
+    rounds = created[0].rounds
+    await asyncio.sleep(5.0)
+    assert created[0].rounds == rounds > 0
+    assert created[0].ended
--- a/tests/test_targetrunner.py
+++ b/tests/test_targetrunner.py
@@ -72,6 +72,21 @@
     assert sender.executions == ["a1"]
 
 
+async def test_admitted_request_runs_after_its_target_moved():
+    """R7: a planned stop must not send away a request that waited."""
+    sender = fakes.FakeSender([fakes.FakeStream([1.0, *fakes.EVENTS])])
+    runner = fakes.build_runner(sender, fakes.build_target(slots=1))
+    sinks = [fakes.Collector(), fakes.Collector()]
+    tasks = [
+        asyncio.create_task(runner.run(fakes.build_dispatch(name), sink))
+        for name, sink in zip(("a1", "a2"), sinks, strict=True)
+    ]
+    await asyncio.sleep(0.5)
+    runner.owned = False
+    await asyncio.wait(tasks)
+    assert [sink.body for sink in sinks] == [fakes.STREAM, fakes.STREAM]
+
+
 async def test_cancelled_waiting_attempt_never_starts():
     """R4: a request given up in the queue must not run later."""
     sender = fakes.FakeSender([fakes.FakeStream([1.0, *fakes.EVENTS])])
