Log and count model and adapter orders

Cause: operators could not see moves, ownership or configuration changes. Change: events model_loaded, model_unloaded, order_failed, ownership_changed, configuration_applied; counters of loads; metrics in the dump; addresses to connect to are chosen by a function of entrylinks.

--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -1,6 +1,7 @@
 """Models and adapters of one owned engine, and the orders that move them."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
     orders,
     ownedtargets,
     targetrunner,
+    telemetry,
 )
 
 Permit = Callable[[str], Callable[[], None] | None]
@@ -33,6 +35,7 @@
         "_client",
         "_directory",
         "_grants",
+        "_metrics",
         "_tasks",
         "_waiters",
         "pool",
@@ -44,8 +47,10 @@
         client: engines.EngineClient,
         holder: grants.GrantHolder,
         targets: directory.TargetDirectory,
+        metrics: telemetry.Metrics,
     ) -> None:
         """Creates the gate of one engine."""
+        self._metrics = metrics
         self.pool = pool
         self._client = client
         self._grants = holder
@@ -126,6 +131,9 @@
                 order.adapter, self._grants.epoch
             )
         self.pool.answered(order, failure)
+        if failure is None:
+            moved = "loaded" if order.load else "unloaded"
+            self._metrics.count(f"adapters.{moved}")
         if order.load:
             for waiter in self._waiters.pop(order.adapter, []):
                 if not waiter.done():
@@ -148,6 +156,8 @@
         "_ended",
         "_grants",
         "_leaving_since",
+        "_log",
+        "_metrics",
         "_report",
         "_runner",
         "_target",
@@ -166,6 +176,8 @@
         loads: adapters.LoadsInFlight,
         permit: Permit,
         rng: random.Random,
+        metrics: telemetry.Metrics,
+        log: logging.Logger,
     ) -> None:
         """Creates the memory side of an engine that was granted just now.
 
@@ -179,7 +191,11 @@
           loads: Bound on adapter loads under way.
           permit: Takes a permit of the weight store for a model load.
           rng: Source of the backoff's jitter.
+          metrics: Counts orders.
+          log: Receives an event for each order.
         """
+        self._metrics = metrics
+        self._log = log
         self._target = target
         self._client = client
         self._grants = holder
@@ -190,7 +206,11 @@
         self._ended = False
         self._leaving_since: dict[str, float] = {}
         self.gate: PoolGate = PoolGate(
-            adapters.AdapterPool(target, loads), client, holder, targets
+            adapters.AdapterPool(target, loads),
+            client,
+            holder,
+            targets,
+            metrics,
         )
         guards = orders.Guards(
             may_order=self._may_order,
@@ -294,10 +314,41 @@
             if failure is not None:
                 return
             self._adopted = epoch
-        await self.orders.step()
+        before = set(self.orders.ledger.models(ledger.Hold.RESIDENT))
+        result = await self.orders.step()
+        after = set(self.orders.ledger.models(ledger.Hold.RESIDENT))
+        self._record(result, after - before, before - after)
         for model in self._leaving_since.keys() - self.orders.leaving:
             del self._leaving_since[model]
 
+    def _record(
+        self,
+        result: bool | errors.Failure,
+        loaded: set[str],
+        unloaded: set[str],
+    ) -> None:
+        """Logs and counts what an order did."""
+        name = self._target.name
+        if isinstance(result, errors.Failure):
+            self._metrics.count("orders.failed")
+            telemetry.log(
+                self._log,
+                "order_failed",
+                level=logging.WARNING,
+                target=name,
+                reason=str(result.reason),
+                outcome=str(result.outcome),
+                detail=result.detail,
+            )
+        if result is not True:
+            return
+        for event, models in (("loaded", loaded), ("unloaded", unloaded)):
+            for model in sorted(models):
+                self._metrics.count(f"models.{event}")
+                telemetry.log(
+                    self._log, f"model_{event}", target=name, model=model
+                )
+
     def end(self) -> None:
         """See base class."""
         self._ended = True
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 
@@ -15,7 +16,6 @@
     links,
     membership,
     messages,
-    ownership,
     peerset,
     reporting,
     telemetry,
@@ -203,7 +203,12 @@
             return
         match message:
             case messages.Grant() | messages.Renewal():
+                epoch = self.grants.epoch
                 if self.grants.receive(message):
+                    if self.grants.epoch != epoch:
+                        self._log_event(
+                            "ownership_changed", epoch=self.grants.epoch
+                        )
                     self._around.set_call_rate(self.grants.calls_per_s)
                     self.claim_writer.set_calls_per_s(self.grants.calls_per_s)
                     self.owned.apply()
@@ -238,6 +243,11 @@
             )
             if not isinstance(new, errors.Failure):
                 self.current = new
+                self._log_event(
+                    "configuration_applied",
+                    revision=new.revision,
+                    invalid_documents=len(new.failures),
+                )
         self.gateway.ready = self.state.fresh
 
     def _take_inventory(self, message: messages.InventoryUpdate) -> None:
@@ -248,28 +258,11 @@
         owned = len(self.owned.engines)
         self.adapter_loads.set_limit(adapters.share_of_limit(listed, owned))
         self.owned.update(listed.in_data_centre(self.hello.data_centre))
-        self._peer_set.set_addresses(self._peer_addresses(listed))
-
-    def _peer_addresses(self, listed: inventory.Inventory) -> list[str]:
-        """Returns where to connect: one link for each pair of instances."""
-        own = self.hello.data_centre
-        name = self.hello.instance
-        addresses = [
-            i.entry_peer
-            for i in listed.instances
-            if i.data_centre == own and i.name > name
-        ]
-        by_centre: dict[str, list[inventory.Instance]] = {}
-        for instance in listed.instances:
-            live = instance.state is inventory.State.LIVE
-            if instance.data_centre != own and live:
-                by_centre.setdefault(instance.data_centre, []).append(instance)
-        for others in by_centre.values():
-            gateway_instance = max(
-                others, key=lambda i: ownership.score(name, i.name)
+        self._peer_set.set_addresses(
+            entrylinks.choose_addresses(
+                listed, self.hello.instance, self.hello.data_centre
             )
-            addresses.append(gateway_instance.entry_peer)
-        return addresses
+        )
 
     async def _beat(self) -> None:
         while True:
@@ -306,12 +299,7 @@
                 if link is not None and change.process.role == ENTRY:
                     silent.append(link)
         for link in silent:
-            telemetry.log(
-                self._around.log,
-                "peer_silent",
-                level=logging.WARNING,
-                peer=link.peer.instance,
-            )
+            self._log_event("peer_silent", peer=link.peer.instance)
             self._spawn(link.close())
 
     def _check_grant(self) -> None:
@@ -377,6 +365,10 @@
                     for event in found:
                         self.prefixes.apply(name, event)
 
+    def _log_event(self, event: str, **fields: Any) -> None:
+        name = self.hello.instance
+        telemetry.log(self._around.log, event, instance=name, **fields)
+
     def dump(self) -> dict[str, object]:
         """Returns the state for operators."""
         return {
@@ -397,6 +389,7 @@
             "remote_bytes": self.links.remote_bytes,
             "suspects": len(self.suspects),
             "claims": self.claim_writer.dump(),
+            "metrics": self._around.metrics.dump(),
             "configuration_failures": {
                 key: str(failure)
                 for key, failure in self.current.failures.items()
--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -13,8 +13,10 @@
     dispatcher,
     errors,
     forwarder,
+    inventory,
     links,
     messages,
+    ownership,
     routing,
     telemetry,
 )
@@ -280,5 +282,35 @@
                 return
 
 
+def choose_addresses(
+    listed: inventory.Inventory, instance: str, data_centre: str
+) -> list[str]:
+    """Returns the entry processes to which an instance connects.
+
+    One of each pair of instances in a data centre connects to the other, and
+    each instance connects to one gateway in each other data centre.
+
+    Args:
+      listed: The inventory.
+      instance: The instance.
+      data_centre: Its data centre.
+    """
+    addresses = []
+    others: dict[str, list[inventory.Instance]] = {}
+    for listed_instance in listed.instances:
+        if listed_instance.data_centre == data_centre:
+            if listed_instance.name > instance:
+                addresses.append(listed_instance.entry_peer)
+        elif listed_instance.state is inventory.State.LIVE:
+            centre = others.setdefault(listed_instance.data_centre, [])
+            centre.append(listed_instance)
+    for candidates in others.values():
+        gateway = max(
+            candidates, key=lambda i: ownership.score(instance, i.name)
+        )
+        addresses.append(gateway.entry_peer)
+    return addresses
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/entryparts.py
+++ b/carobsail/entryparts.py
@@ -208,6 +208,8 @@
             self.adapter_loads,
             lambda model: _unlimited,
             around.rng,
+            around.metrics,
+            around.log,
         )
         runner.adapters = engine.gate
         return engine
