--- a/tests/builders_io.py
+++ b/tests/builders_io.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import async_solipsism
 import msgspec
 
 from carobsail import errors, httpclient, httpserver, inventory, messages
@@ -64,13 +63,6 @@
     return received
 
 
-class NetworkPolicy(asyncio.DefaultEventLoopPolicy):
-    """Gives each test a loop with virtual time and an in-memory network."""
-
-    def new_event_loop(self):
-        return async_solipsism.EventLoop()
-
-
 def dispatch(body: bytes | dict, **changes) -> messages.Dispatch:
     """Returns a request to an engine."""
     data = body if isinstance(body, bytes) else msgspec.json.encode(body)
--- a/tests/test_callmeter.py
+++ b/tests/test_callmeter.py
@@ -6,12 +6,8 @@
 
 from carobsail import callmeter, errors, keyvalue
 from carobsail.callmeter import Importance
-from tests import builders_io as build
 
-
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def test_rate_holds_over_time():
--- a/tests/test_enginehttp.py
+++ b/tests/test_enginehttp.py
@@ -9,10 +9,7 @@
 from carobsail.standin_generation import answer_text
 from tests import builders_io as build
 
-
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def test_each_caller_gets_its_own_whole_answer():
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -8,10 +8,7 @@
 from carobsail.keyvalue import Compare, Delete, Put, WatchEvent
 from tests import builders_io as build
 
-
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def start():
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -10,9 +10,7 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def call(pool, body=b"x"):
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,9 +10,7 @@
 LAST = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def test_pipelined_requests_get_their_own_answers_in_order():
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -9,10 +9,7 @@
 from carobsail.standin_service import ServiceCut, ServiceStandin
 from tests import builders_io as build
 
-
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def start():
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -7,10 +7,7 @@
 from carobsail import errors, inventory, standin, standin_platform
 from tests import builders_io as build
 
-
-@pytest.fixture
-def event_loop_policy():
-    return build.NetworkPolicy()
+pytestmark = pytest.mark.memory_network
 
 
 async def test_crash_marker_crashes_and_restarts():
