Tell the owner when a slow caller ends an attempt

Cause: an attempt that ended because the caller left 4 MiB unread went on at its owner and engine. Change: the forwarder cancels it; a test with a slow caller.

--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -324,7 +324,11 @@
                 finished = True
                 return unsent
             result = await self._receive(subject, receiver, delivery)
-            finished = True
+            # A caller that reads too slowly ends the attempt on this side
+            # only; its owner must be told.
+            finished = not isinstance(result, errors.Failure) or (
+                result.reason is not errors.Reason.CANCELLED
+            )
             return result
         finally:
             self._directory.ended(target, attempt)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -226,3 +226,20 @@
     await asyncio.wait((task,))
     assert transport.cancelled == [transport.sent[0][1]]
     assert len(subject.receivers) == 0
+
+
+async def test_slow_caller_ends_the_attempt_at_its_owner(monkeypatch):
+    """A caller that reads too slowly must not keep an engine's stream."""
+    monkeypatch.setattr(attempts, "MAX_BUFFERED_BYTES", 20)
+    sender = fakes.FakeSender(
+        resumes=[build_failure(errors.Outcome.FAILED)] * 50
+    )
+    subject, transport, opened = build({"engine-1": sender})
+
+    class Slow(Delivered):
+        async def write(self, data):
+            await asyncio.sleep(60.0)
+
+    result = await subject.run(opened, Slow())
+    assert isinstance(result, errors.Failure)
+    assert transport.sent[0][1] in transport.cancelled
