Add the demo over a local deployment

Nothing ran all programs together, and no command showed a stranger that the promises hold. The demo runs Valtellina's deployment in one process, kills an engine, stops an instance on the way, and checks every answer and booking against the stand-ins.

FreePorts now takes ports below the range of outgoing connections, which could take a port before its server listened.

--- /dev/null
+++ b/carobsail/democallers.py
@@ -0,0 +1,273 @@
+"""Callers of the demo: send requests and check their answers."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import json
+from typing import Any
+
+import xxhash
+
+from carobsail import errors, httpclient, standin_generation
+
+_CONNECTIONS = 1024
+_TIMEOUT_S = 30.0
+_DONE = b"[DONE]"
+
+
+class Kind(enum.StrEnum):
+    """What a caller asks for."""
+
+    DRAFT = "draft"
+    STREAM = "stream"
+    LOOKUP = "lookup"
+    BOOKING = "booking"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Job:
+    """One request with what its answer must be.
+
+    Attributes:
+      kind: What it asks for.
+      access_key: Access key of its client account.
+      method: HTTP method.
+      path: HTTP path.
+      body: HTTP body.
+      due_s: Seconds in which the whole answer is due.
+      expected: Text of the whole answer.
+      key: Idempotency key or empty.
+    """
+
+    kind: Kind
+    access_key: str
+    method: str
+    path: str
+    body: bytes
+    due_s: float
+    expected: str
+    key: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Report:
+    """What a caller saw.
+
+    Attributes:
+      job: The request.
+      instance: Instance that was asked.
+      duration_s: Seconds until the end of the answer.
+      answer: The whole answer, None without one.
+      outcome: What the failure says of the execution, None if answered.
+      reason: Reason of the failure.
+      cut: Whether the connection ended without an answer or an error.
+      replayed: Whether the answer is that of an earlier request.
+      body: Whole body as received.
+    """
+
+    job: Job
+    instance: str
+    duration_s: float
+    answer: str | None = None
+    outcome: errors.Outcome | None = None
+    reason: str = ""
+    cut: bool = False
+    replayed: bool = False
+    body: bytes = b""
+
+    @property
+    def right(self) -> bool:
+        """Whether the answer is the request's own and whole."""
+        return self.answer == self.job.expected
+
+    @property
+    def late(self) -> bool:
+        """Whether the answer came after its deadline."""
+        return self.duration_s > self.job.due_s
+
+
+def draft(
+    access_key: str,
+    model: str,
+    prompt: str,
+    tokens: int,
+    due_s: float,
+    *,
+    stream: bool = False,
+) -> Job:
+    """Returns a chat request to a model or adapter."""
+    plain = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+    body = json.dumps(plain).encode()
+    return Job(
+        Kind.STREAM if stream else Kind.DRAFT,
+        access_key,
+        "POST",
+        "/v1/chat/completions",
+        body,
+        due_s,
+        standin_generation.answer_text(body, tokens),
+    )
+
+
+def lookup(access_key: str, registration: str, due_s: float) -> Job:
+    """Returns a lookup at the service `registrations`."""
+    path = f"/services/registrations/registrations/{registration}"
+    vehicle = xxhash.xxh64_hexdigest(registration.encode())
+    expected = f'{{"registration":"{registration}","vehicle":"{vehicle}"}}'
+    return Job(Kind.LOOKUP, access_key, "GET", path, b"", due_s, expected)
+
+
+def booking(access_key: str, order: str, key: str, due_s: float) -> Job:
+    """Returns a booking at the service `bookings`."""
+    body = json.dumps({"order": order}).encode()
+    return Job(
+        Kind.BOOKING,
+        access_key,
+        "POST",
+        "/services/bookings/bookings",
+        body,
+        due_s,
+        xxhash.xxh64_hexdigest(body),
+        key,
+    )
+
+
+class Callers:
+    """Sends jobs to instances, as a load balancer would.
+
+    Attributes:
+      open: Instances that receive new requests.
+      in_flight: Requests under way by instance.
+    """
+
+    __slots__ = ("_pools", "in_flight", "open")
+
+    def __init__(self, addresses: dict[str, str]) -> None:
+        """Takes the callers' ports by instance name."""
+        self._pools = {
+            name: httpclient.Pool(address, _CONNECTIONS, _TIMEOUT_S, name)
+            for name, address in addresses.items()
+        }
+        self.open = list(addresses)
+        self.in_flight: collections.Counter[str] = collections.Counter()
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    async def send(self, job: Job, instance: str) -> Report:
+        """Sends one request and reads its answer to the end."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self.in_flight[instance] += 1
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                report = await self._send(job, instance)
+        except TimeoutError:
+            report = Report(
+                job, instance, 0.0, None, errors.Outcome.UNKNOWN, "no answer"
+            )
+        finally:
+            self.in_flight[instance] -= 1
+        duration_s = loop.time() - started
+        return dataclasses.replace(report, duration_s=duration_s)
+
+    async def _send(self, job: Job, instance: str) -> Report:
+        headers = [("authorization", f"Bearer {job.access_key}")]
+        if job.body:
+            headers.append(("content-type", "application/json"))
+        if job.key:
+            headers.append(("idempotency-key", job.key))
+        answer = await self._pools[instance].request(
+            job.method, job.path, headers, job.body
+        )
+        if isinstance(answer, errors.Failure):
+            return _cut(job, instance, answer)
+        body = b""
+        async for chunk in answer.chunks():
+            if isinstance(chunk, errors.Failure):
+                # An interrupted stream ends with an error event.
+                error = _last_event(body)
+                if "error" in error:
+                    return _failed(job, instance, error)
+                return _cut(job, instance, chunk)
+            body += chunk
+        replayed = answer.header("idempotent-replayed") == "true"
+        if answer.status >= 400:
+            return _failed(job, instance, _parse(body))
+        if job.kind is Kind.STREAM:
+            return _read_stream(job, instance, body)
+        text = _text(job.kind, body)
+        return Report(job, instance, 0.0, text, replayed=replayed, body=body)
+
+
+def _cut(job: Job, instance: str, failure: errors.Failure) -> Report:
+    not_run = failure.outcome is errors.Outcome.NOT_RUN
+    return Report(
+        job,
+        instance,
+        0.0,
+        None,
+        failure.outcome,
+        str(failure.reason),
+        cut=not not_run,
+    )
+
+
+def _failed(job: Job, instance: str, plain: dict[str, Any]) -> Report:
+    error = plain.get("error") or {}
+    outcome = errors.Outcome(error.get("outcome", errors.Outcome.UNKNOWN))
+    reason = str(error.get("code", "unreadable answer"))
+    return Report(job, instance, 0.0, None, outcome, reason)
+
+
+def _read_stream(job: Job, instance: str, body: bytes) -> Report:
+    """Joins the tokens of a stream; it is whole only with its terminator."""
+    events = _events(body)
+    if not events or events[-1] != _DONE:
+        return _failed(job, instance, _last_event(body))
+    tokens = [
+        choice["delta"]["content"]
+        for event in events[:-1]
+        for choice in _parse(event).get("choices", [])
+    ]
+    return Report(job, instance, 0.0, "".join(tokens))
+
+
+def _events(body: bytes) -> list[bytes]:
+    """Returns the data of the server-sent events in a body."""
+    return [
+        line.removeprefix(b"data: ")
+        for line in body.splitlines()
+        if line.startswith(b"data: ")
+    ]
+
+
+def _last_event(body: bytes) -> dict[str, Any]:
+    return _parse((_events(body) or [b""])[-1])
+
+
+def _text(kind: Kind, body: bytes) -> str:
+    """Returns the part of an answer that its request determines."""
+    if kind is Kind.LOOKUP:
+        return body.decode()
+    plain = _parse(body)
+    if kind is Kind.BOOKING:
+        return str(plain.get("request"))
+    choices = plain.get("choices") or [{"message": {"content": ""}}]
+    return str(choices[0]["message"]["content"])
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        plain = json.loads(body)
+    except ValueError:
+        return {}
+    return plain if isinstance(plain, dict) else {}
--- a/carobsail/localdeployment.py
+++ b/carobsail/localdeployment.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import dataclasses
+import itertools
+import os
 import socket
 from collections.abc import Callable
 
@@ -29,16 +31,39 @@
 HOST = "127.0.0.1"
 PEER_SECRET = "demo-peer-secret"
 READY_TIMEOUT_S = 20.0
+PORT_RANGE = (20_000, 32_000)
 
 
 class FreePorts(deployments.PortSource):
-    """Gives ports that are free at the time of the call."""
+    """Gives ports that are free at the time of the call.
+
+    They lie below the ports that systems give to outgoing connections: one
+    of those could otherwise take a port before its server listens.
+    """
+
+    __slots__ = ()
+
+    _candidates = itertools.cycle(range(*PORT_RANGE))
+    # Processes started together begin at different places.
+    for _ in range(os.getpid() * 131 % (PORT_RANGE[1] - PORT_RANGE[0])):
+        next(_candidates)
 
     def __call__(self) -> int:
-        """Returns a free port."""
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            return probe.getsockname()[1]
+        """Returns a free port.
+
+        Raises:
+          OSError: No port of the range is free.
+        """
+        for port in itertools.islice(
+            self._candidates, PORT_RANGE[1] - PORT_RANGE[0]
+        ):
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise OSError(f"no free port from {PORT_RANGE[0]} on")
 
 
 @dataclasses.dataclass(slots=True)
