Share settings of the programs and delete documents

entry, control and carobsailctl checked names, secrets and addresses differently: entry accepted empty secret lists and failed with a traceback on a bad address or policy name after it had started. programsettings.py now holds the common fields with their bounds, and checks addresses, URLs and policy names while loading. carobsailctl takes the key-value service as URL and the inventory as URL or file, and deletes documents with the same compare-and-swap as apply; a template in use is refused.

platform_client.py and inventorysource.py did the same; inventorysource.py stays, with the stricter URL check and the outcome of a read.

--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -23,9 +23,11 @@
     messages,
     operatorport,
     peers,
+    placement,
     planner,
     planning,
     policies,
+    programsettings,
     settings,
     signals,
     telemetry,
@@ -59,37 +61,19 @@
 
 REPORT_INTERVAL_S = 1.0
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
-# Shorter secrets could be guessed from one recorded handshake.
-Secret = Annotated[str, msgspec.Meta(min_length=16)]
 
-
-class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of `carobsail-control`.
+class ControlSettings(programsettings.ProcessSettings, frozen=True):
+    """Settings of `carobsail-control`, besides those of every process.
 
     Attributes:
-      instance: Name of the instance.
-      data_centre: Data centre of the instance.
-      peer_listen: `host:port` of the peer port.
-      operator_listen: `host:port` of the operator port.
-      key_value_url: URL of the key-value service.
       inventory_url: URL of the platform's inventory document.
-      peer_secrets: Shared secrets; the first is current, others are accepted.
-      statsd: `host:port` of the statsd server; empty for none.
       calls_per_s: Key-value call budget of the data centre.
       placement_policy: Name of the placement policy.
       copies: Copies of each model in use, where memory allows.
       weights: What late answers and loads cost.
     """
 
-    instance: Name
-    data_centre: Name
-    peer_listen: str
-    operator_listen: str
-    key_value_url: str
     inventory_url: str
-    peer_secrets: Annotated[list[Secret], msgspec.Meta(min_length=1)]
-    statsd: str = ""
     calls_per_s: Annotated[float, msgspec.Meta(gt=0)] = (
         controller.DEFAULT_CALLS_PER_S
     )
@@ -97,6 +81,19 @@
     copies: Annotated[int, msgspec.Meta(ge=1, le=8)] = planner.DEFAULT_COPIES
     weights: PlacementWeights = PlacementWeights()
 
+    def __post_init__(self) -> None:
+        """See base class."""
+        programsettings.ProcessSettings.__post_init__(self)
+        programsettings.require(self, ["inventory_url"])
+        programsettings.check_fields(
+            self, settings.parse_url, ["inventory_url"]
+        )
+        programsettings.check_fields(
+            self,
+            programsettings.one_of(placement.POLICIES),
+            ["placement_policy"],
+        )
+
 
 class _Rendering:
     """Renders policies, and only the accounts that changed."""
@@ -245,7 +242,9 @@
     Returns:
       The exit code: 0 after a planned stop, 1 after a fault.
     """
-    service = etcd.EtcdGateway(loaded.key_value_url.removeprefix("http://"))
+    service = etcd.EtcdGateway(
+        programsettings.service_address(loaded.key_value_url)
+    )
     servers = await start(loaded, service)
     failed = servers.controller.failed
     log = logging.getLogger(telemetry.LOGGER_NAME)
@@ -264,7 +263,7 @@
         loaded = settings.load(path, ControlSettings)
     except settings.SettingsError as error:
         raise SystemExit(str(error)) from error
-    telemetry.configure_logging("info", sys.stderr)
+    telemetry.configure_logging(loaded.log_level, sys.stderr)
     raise SystemExit(asyncio.run(serve(loaded)))
 
 
--- a/carobsail/ctl.py
+++ b/carobsail/ctl.py
@@ -14,10 +14,13 @@
 from carobsail import (
     acceptance,
     configuration,
+    deletion,
     errors,
     inventory,
+    inventorysource,
     keyvalue,
     operations,
+    programsettings,
     settings,
 )
 from carobsail.operations import Result, Status
@@ -33,13 +36,24 @@
     """Settings of `carobsailctl`.
 
     Attributes:
-      key_value: IP address and port of the key-value service.
-      inventory: File of the platform's inventory; empty for none.
+      key_value_url: URL of the key-value service.
+      inventory: URL or file of the platform's inventory; empty for none.
     """
 
-    key_value: str
+    key_value_url: str
     inventory: str = ""
 
+    def __post_init__(self) -> None:
+        """Checks the URL.
+
+        Raises:
+          ValueError: The URL is malformed or missing.
+        """
+        programsettings.require(self, ["key_value_url"])
+        programsettings.check_fields(
+            self, programsettings.service_address, ["key_value_url"]
+        )
+
 
 def connect(address: str) -> keyvalue.KeyValueClient:
     """Returns a client of the key-value service."""
@@ -49,6 +63,18 @@
     return etcd.EtcdGateway(address)
 
 
+async def read_inventory(location: str) -> inventory.Inventory | Result | None:
+    """Reads an inventory from a URL or file; None without a location."""
+    if not location:
+        return None
+    found = await inventorysource.read(location)
+    if not isinstance(found, errors.Failure):
+        return found
+    if found.reason is errors.Reason.INVALID:
+        return Result(Status.INVALID, (found.detail,))
+    return Result(Status.UNAVAILABLE, (str(found),))
+
+
 async def fetch_dump(address: str) -> Result:
     """Returns the state dump of a process."""
     from carobsail import httpclient
@@ -106,16 +132,14 @@
 
         Args:
           files: Templates and the client accounts that use them.
-          inventory: File of the inventory in which models must exist.
+          inventory: URL or file of the inventory in which models must exist.
         """
 
         def work() -> Result:
             documents = operations.load(map(str, files))
             if isinstance(documents, Result):
                 return documents
-            listed = (
-                operations.load_inventory(str(inventory)) if inventory else None
-            )
+            listed = asyncio.run(read_inventory(str(inventory)))
             if isinstance(listed, Result):
                 return listed
             return operations.validate(documents, listed)
@@ -152,30 +176,39 @@
             client: keyvalue.KeyValueClient,
             listed: inventory.Inventory | None,
         ) -> Result:
-            # fire takes a word after --wait as its value.
-            if not isinstance(wait, bool):
-                line = f'"--wait": expected no value, got {wait}'
-                return Result(Status.INVALID, (line,))
-            if seen is not None and type(seen) is not int:
-                line = f'"--seen": expected a revision, got {seen}'
-                return Result(Status.INVALID, (line,))
+            if (wrong := _check_options(seen, wait)) is not None:
+                return wrong
             documents = operations.load(map(str, files))
             if isinstance(documents, Result):
                 return documents
             result = await operations.apply(
                 client, documents, metadata, seen, listed
             )
-            if result.status is not Status.DONE:
-                return result
-            done = f"revision {result.revision} is committed"
-            if not wait:
-                return Result(result.status, (*result.lines, done))
-            if listed is None:
-                line = f"{done}; --wait needs an inventory"
-                return Result(Status.NOT_ACCEPTED, (line,))
-            return await acceptance.wait_accepted(
-                client, result.revision, listed.regions
+            return await _conclude(client, result, listed, wait)
+
+        return self._pending(commit)
+
+    def delete(
+        self, *names: str, seen: int | None = None, wait: bool = False
+    ) -> Pending:
+        """Deletes documents in one transaction.
+
+        Args:
+          names: Names such as accounts/clerks or templates/counter.
+          seen: Revision that plan showed; a later change is a conflict.
+          wait: Whether to wait until every data centre has confirmed.
+        """
+
+        async def commit(
+            client: keyvalue.KeyValueClient,
+            listed: inventory.Inventory | None,
+        ) -> Result:
+            if (wrong := _check_options(seen, wait)) is not None:
+                return wrong
+            result = await deletion.delete(
+                client, map(str, names), seen, listed
             )
+            return await _conclude(client, result, listed, wait)
 
         return self._pending(commit)
 
@@ -215,23 +248,51 @@
     ) -> Result:
         try:
             loaded = settings.load(self._settings_file, CtlSettings)
-            settings.parse_address(loaded.key_value)
-        except ValueError as error:
+        except settings.SettingsError as error:
             return Result(Status.INVALID, (str(error),))
-        listed = (
-            operations.load_inventory(loaded.inventory)
-            if loaded.inventory
-            else None
-        )
-        if isinstance(listed, Result):
-            return listed
+        address = programsettings.service_address(loaded.key_value_url)
 
         async def work() -> Result:
-            return await call(self._connect(loaded.key_value), listed)
+            listed = await read_inventory(loaded.inventory)
+            if isinstance(listed, Result):
+                return listed
+            return await call(self._connect(address), listed)
 
         return asyncio.run(work())
 
 
+def _check_options(seen: object, wait: object) -> Result | None:
+    """Refuses values of the wrong type, which fire lets pass."""
+    # fire takes a word after --wait as its value.
+    if not isinstance(wait, bool):
+        line = f'"--wait": expected no value, got {wait}'
+        return Result(Status.INVALID, (line,))
+    if seen is not None and type(seen) is not int:
+        line = f'"--seen": expected a revision, got {seen}'
+        return Result(Status.INVALID, (line,))
+    return None
+
+
+async def _conclude(
+    client: keyvalue.KeyValueClient,
+    result: Result,
+    listed: inventory.Inventory | None,
+    wait: bool,
+) -> Result:
+    """Tells that a change is committed, or waits until it is accepted."""
+    if result.status is not Status.DONE:
+        return result
+    done = f"revision {result.revision} is committed"
+    if not wait:
+        return Result(result.status, (*result.lines, done))
+    if listed is None:
+        line = f"{done}; --wait needs an inventory"
+        return Result(Status.NOT_ACCEPTED, (line,))
+    return await acceptance.wait_accepted(
+        client, result.revision, listed.regions
+    )
+
+
 def run(arguments: list[str], commands: Any = Commands) -> int:
     """Runs one command and returns its exit code."""
     try:
--- a/carobsail/entry.py
+++ b/carobsail/entry.py
@@ -23,6 +23,8 @@
     messages,
     operatorport,
     peers,
+    programsettings,
+    routing,
     settings,
     signals,
     telemetry,
@@ -48,35 +50,32 @@
     connections: Positive = 4096
 
 
-class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of `carobsail-entry`.
+class EntrySettings(programsettings.ProcessSettings, frozen=True):
+    """Settings of `carobsail-entry`, besides those of every process.
 
     Attributes:
-      instance: Name of the instance.
-      data_centre: Data centre of the instance.
       caller_listen: `host:port` of the callers' port.
-      peer_listen: `host:port` of the peer port.
-      operator_listen: `host:port` of the operator port.
-      key_value_url: URL of the key-value service.
-      peer_secrets: Shared secrets; the first is current, others are accepted.
-      statsd: `host:port` of the statsd server; empty for none.
-      log_level: `debug`, `info`, `warning` or `error`.
       routing_policy: Name of the routing policy.
       bounds: Bounds of the callers' port.
     """
 
-    instance: str
-    data_centre: str
     caller_listen: str
-    peer_listen: str
-    operator_listen: str
-    key_value_url: str
-    peer_secrets: list[str]
-    statsd: str = ""
-    log_level: str = "info"
     routing_policy: str = "due_time"
     bounds: CallerBounds = CallerBounds()
 
+    def __post_init__(self) -> None:
+        """See base class."""
+        programsettings.ProcessSettings.__post_init__(self)
+        programsettings.require(self, ["caller_listen"])
+        programsettings.check_fields(
+            self, settings.parse_address, ["caller_listen"]
+        )
+        programsettings.check_fields(
+            self,
+            programsettings.one_of(routing.policy_names()),
+            ["routing_policy"],
+        )
+
 
 Shape = Callable[[peers.Link], peers.Link]
 
@@ -219,7 +218,9 @@
     Returns:
       The exit code: 0 after a planned stop, 1 after a fault.
     """
-    service = etcd.EtcdGateway(loaded.key_value_url.removeprefix("http://"))
+    service = etcd.EtcdGateway(
+        programsettings.service_address(loaded.key_value_url)
+    )
     servers = await start(loaded, service)
     failed = servers.instance.failed
     log = logging.getLogger(telemetry.LOGGER_NAME)
--- a/carobsail/inventorysource.py
+++ b/carobsail/inventorysource.py
@@ -1,48 +1,89 @@
-"""Fetches the platform's inventory document over HTTP."""
+"""Reads the platform's inventory, over HTTP or from a file."""
 
 import asyncio
+import dataclasses
 
-from carobsail import errors, httpclient
+from carobsail import errors, httpclient, inventory, settings
 
 FETCH_TIMEOUT_S = 2.0
 # 12,000 targets take about 4 MB.
-MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+_DOCUMENT_BYTES = 16_777_216
 
 
 class InventorySource:
-    """Client of the inventory document.
+    """Client of the inventory document."""
 
-    Attributes:
-      path: Path of the document.
-    """
-
-    __slots__ = ("_pool", "path")
+    __slots__ = ("_path", "_pool")
 
     def __init__(self, url: str) -> None:
-        """Takes a URL such as `http://10.0.0.1:8080/inventory`."""
-        address, slash, path = url.removeprefix("http://").partition("/")
-        self.path = slash + path or "/"
-        self._pool = httpclient.Pool(address, 1, FETCH_TIMEOUT_S)
+        """Creates a client without connections.
+
+        Raises:
+          ValueError: The URL is malformed or not plain HTTP.
+        """
+        address, self._path = settings.parse_url(url)
+        self._pool = httpclient.Pool(address, 2, FETCH_TIMEOUT_S, "inventory")
 
     async def fetch(self) -> bytes | errors.Failure:
-        """Returns the document."""
+        """Returns the document's bytes."""
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                headers = [("host", self._pool.address)]
-                answer = await self._pool.request(
-                    "GET", self.path, headers, b""
-                )
+                answer = await self._pool.request("GET", self._path, [], b"")
                 if isinstance(answer, errors.Failure):
-                    return answer
-                body = await answer.read(MAX_DOCUMENT_BYTES)
+                    return _as_read(answer)
+                content = await answer.read(_DOCUMENT_BYTES)
         except TimeoutError:
-            return self._pool.failure(errors.Reason.TIMEOUT, "inventory")
+            failure = self._pool.failure(errors.Reason.TIMEOUT, "no answer")
+            return _as_read(failure)
+        if isinstance(content, errors.Failure):
+            return _as_read(content)
         if answer.status != 200:
-            return self._pool.failure(
-                errors.Reason.UNAVAILABLE, f"inventory: {answer.status}"
-            )
-        return body
+            detail = f"status {answer.status}"
+            failure = self._pool.failure(errors.Reason.TARGET_ERROR, detail)
+            return _as_read(failure)
+        return content
 
     def close(self) -> None:
         """Closes idle connections."""
         self._pool.close()
+
+
+def _as_read(failure: errors.Failure) -> errors.Failure:
+    """A failed read changes nothing, so its outcome is never unknown."""
+    return dataclasses.replace(
+        failure, step=errors.Step.CONFIGURE, outcome=errors.Outcome.FAILED
+    )
+
+
+async def read(location: str) -> inventory.Inventory | errors.Failure:
+    """Reads an inventory once.
+
+    Args:
+      location: URL, or name of a file in which comments are allowed.
+
+    Returns:
+      The inventory, or a failure whose reason is INVALID if another attempt
+      would fail alike.
+    """
+    try:
+        if not location.startswith("http:"):
+            return settings.load(location, inventory.Inventory)
+        source = InventorySource(location)
+    except ValueError as error:
+        return _invalid(location, str(error))
+    try:
+        document = await source.fetch()
+    finally:
+        source.close()
+    if isinstance(document, errors.Failure):
+        return document
+    try:
+        return settings.parse(location, document, inventory.Inventory)
+    except settings.SettingsError as error:
+        return _invalid(location, str(error))
+
+
+def _invalid(location: str, detail: str) -> errors.Failure:
+    return errors.Failure(
+        errors.Reason.INVALID, errors.Step.CONFIGURE, location, detail=detail
+    )
--- a/carobsail/operations.py
+++ b/carobsail/operations.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import dataclasses
-import difflib
 import enum
-import json
 import pathlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
-from carobsail import configuration, errors, inventory, keyvalue, settings
+from carobsail import configuration, differences, errors, inventory, keyvalue
 
 # etcd allows 128 operations in a transaction; conditions count as well.
 MAX_CHANGES = 60
@@ -128,12 +126,12 @@
     if isinstance(stored, Result):
         return stored
     changed = _changed(stored, documents)
-    invalid = _problems(stored, changed, listed)
+    invalid = problems(stored, encode(changed), listed)
     if invalid:
         return Result(Status.INVALID, tuple(invalid), stored.revision)
     lines: list[str] = []
     for key, document in changed.items():
-        lines += _difference(key, stored.values.get(key), document)
+        lines += differences.show(key, stored.values.get(key), document)
     lines.append(
         f"{len(changed)} of {len(documents)} documents change;"
         f" apply with --seen {stored.revision}"
@@ -181,8 +179,8 @@
             if key in stored.values and stored.values[key].mod_revision > seen
         ]
         if newer:
-            return _conflict(newer, changed, False)
-    invalid = _problems(stored, changed, listed)
+            return show_conflict(newer, changed, False)
+    invalid = problems(stored, encode(changed), listed)
     if invalid:
         return Result(Status.INVALID, tuple(invalid))
     compares = [
@@ -204,7 +202,7 @@
     for key, document in changed.items():
         tagged = msgspec.structs.replace(document, metadata=metadata)
         writes.append(keyvalue.Put(key, configuration.encode_document(tagged)))
-    return await _commit(client, compares, writes, changed, metadata)
+    return await commit(client, compares, writes, changed, metadata)
 
 
 async def _read_users(
@@ -227,15 +225,24 @@
     return {name: found.get(USERS + name, 0) for name in names}
 
 
-async def _commit(
+async def commit(
     client: keyvalue.KeyValueClient,
     compares: list[keyvalue.Compare],
     writes: list[keyvalue.Put | keyvalue.Delete],
     changed: Documents,
     metadata: configuration.Metadata,
+    deleted: Collection[str] = (),
 ) -> Result:
     """Repeats the transaction until its outcome is certain.
 
+    Args:
+      client: The key-value service.
+      compares: Conditions.
+      writes: What takes effect when they hold.
+      changed: Documents that are written.
+      metadata: Identifier of the change, stored with them.
+      deleted: Keys of documents that are deleted.
+
     A repetition is safe: once any of them took effect, the conditions of
     the others fail, and the stored identifier tells whose change it was.
     """
@@ -253,10 +260,13 @@
                 if value.key in changed
                 and _metadata(value).change == metadata.change
             ]
-            if len(mine) == len(changed):
-                return Result(Status.DONE, (), mine[0].mod_revision)
+            present = {value.key for value in result.current}
+            gone = sent and present.isdisjoint(deleted)
+            if len(mine) == len(changed) and (gone or not deleted):
+                revision = mine[0].mod_revision if mine else result.revision
+                return Result(Status.DONE, (), revision)
             expected = {c.key: c.mod_revision for c in compares}
-            return _conflict(
+            return show_conflict(
                 [
                     value
                     for value in result.current
@@ -303,16 +313,28 @@
     }
 
 
-def _problems(
-    stored: Stored, changed: Documents, listed: inventory.Inventory | None
-) -> list[str]:
-    """Returns what the change would break that is not broken already."""
-    before = stored.rendered()
-    encoded = {
+def encode(documents: Documents) -> dict[str, bytes | None]:
+    """Returns the documents as they are stored."""
+    return {
         key: configuration.encode_document(document)
-        for key, document in changed.items()
+        for key, document in documents.items()
     }
-    after = before.with_documents(before.revision, encoded)
+
+
+def problems(
+    stored: Stored,
+    changed: Mapping[str, bytes | None],
+    listed: inventory.Inventory | None,
+) -> list[str]:
+    """Returns what the change would break that is not broken already.
+
+    Args:
+      stored: Present documents.
+      changed: New documents by key; None deletes one.
+      listed: Inventory in which models, adapters and services must exist.
+    """
+    before = stored.rendered()
+    after = before.with_documents(before.revision, changed)
     assert isinstance(after, configuration.ConfigurationSet)
     old = {item.detail for item in before.conflicts()}
     # What the change itself contains is reported even if it is not new.
@@ -337,7 +359,7 @@
     return document.metadata
 
 
-def _conflict(
+def show_conflict(
     newer: list[keyvalue.KeyValue], changed: Documents, sent: bool
 ) -> Result:
     """Shows the other change, and how it differs from this one.
@@ -359,38 +381,7 @@
             f" {other.change or 'unknown'} by {other.operator or 'unknown'}"
         )
         if value.key in changed:
-            lines += _difference(value.key, value, changed[value.key])
+            lines += differences.show(value.key, value, changed[value.key])
     if not newer:
         lines.append("a document was deleted")
     return Result(Status.CONFLICT, tuple(lines))
-
-
-def _difference(
-    key: str, value: keyvalue.KeyValue | None, document: configuration.Document
-) -> list[str]:
-    before: list[str] = []
-    if value is not None:
-        present = configuration.parse_document(value.value)
-        if isinstance(present, errors.Failure):
-            before = value.value.decode(errors="replace").splitlines()
-        else:
-            before = _text(present)
-    name = key.removeprefix(configuration.PREFIX)
-    return list(
-        difflib.unified_diff(
-            before, _text(document), name, name, n=1, lineterm=""
-        )
-    )
-
-
-def _text(document: configuration.Document) -> list[str]:
-    content = configuration.content(document)
-    return json.dumps(content, indent=1, sort_keys=True).splitlines()
-
-
-def load_inventory(path: str) -> inventory.Inventory | Result:
-    """Reads an inventory file; comments are allowed."""
-    try:
-        return settings.load(path, inventory.Inventory)
-    except settings.SettingsError as error:
-        return Result(Status.INVALID, (str(error),))
--- a/carobsail/settings.py
+++ b/carobsail/settings.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import re
+import urllib.parse
 from typing import Any, TypeVar
 
 import jsonc
@@ -135,6 +136,22 @@
     return host, int(port)
 
 
+def parse_url(url: str) -> tuple[str, str]:
+    """Splits `http://127.0.0.1:80/a?b` into address and path with query.
+
+    Raises:
+      ValueError: Not plain HTTP, or the host is not an IP address and a port.
+    """
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme != "http" or "@" in parts.netloc or parts.fragment:
+        raise ValueError(
+            f"{url!r}: expected a URL such as http://127.0.0.1:80/"
+        )
+    parse_address(parts.netloc)
+    query = f"?{parts.query}" if parts.query else ""
+    return parts.netloc, (parts.path or "/") + query
+
+
 def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     """Rejects repeated keys, of which JSON would keep the last silently."""
     found: dict[str, Any] = {}
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -29,13 +29,13 @@
 
 def loaded(key_value, inventory_port):
     return control.ControlSettings(
-        "i0",
-        "dc",
-        f"127.0.0.1:{free_port()}",
-        f"127.0.0.1:{free_port()}",
-        f"http://{key_value}",
-        f"http://127.0.0.1:{inventory_port}/inventory",
-        [SECRET],
+        instance="i0",
+        data_centre="dc",
+        peer_listen=f"127.0.0.1:{free_port()}",
+        operator_listen=f"127.0.0.1:{free_port()}",
+        key_value_url=f"http://{key_value}",
+        inventory_url=f"http://127.0.0.1:{inventory_port}/inventory",
+        peer_secrets=[SECRET],
     )
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -31,7 +31,7 @@
     (tmp_path / "inventory.json").write_bytes(inventory)
     for name, plain in {
         ctl.SETTINGS_FILE: {
-            "key_value": "127.0.0.1:1",
+            "key_value_url": "http://127.0.0.1:1",
             "inventory": "inventory.json",
         },
         "t.json": build.template(),
@@ -113,6 +113,37 @@
         assert (code, shown) == (1, lost)
 
 
+def test_delete_spares_what_is_in_use(work, capsys):
+    """R2, R8: a template in use or changed since must not vanish."""
+    _run(capsys, "apply", "t.json", "a.json")
+    code, shown = _run(capsys, "delete", "templates/counter")
+    assert code == 1 and "counter" in shown
+    code, shown = _run(capsys, "delete", "accounts/none")
+    assert (code, shown) == (1, "no document accounts/none\n")
+    assert _run(capsys, "delete", "accounts/valtellina", "--seen", "1")[0] == 2
+    names = ("accounts/valtellina", "templates/counter")
+    code, shown = _run(capsys, "delete", *names, "--seen", "2")
+    assert (code, shown) == (0, "revision 3 is committed\n")
+    assert not list(filter(lambda k: "config" in k, Commands.service._values))
+
+
+def test_delete_is_certain_after_a_lost_response(work, capsys):
+    """R13: a deletion that took effect must not be shown as a conflict."""
+    _run(capsys, "apply", "t.json")
+    Commands.service.lose_answers = 1
+    code, shown = _run(capsys, "delete", "templates/counter")
+    assert (code, shown) == (0, "revision 3 is committed\n")
+    assert Commands.service.lose_answers == 0
+
+
+def test_inventory_by_url(work, capsys):
+    """R8: an unreachable inventory must not read as an invalid document."""
+    arguments = ("validate", "t.json", "--inventory", "http://127.0.0.1:9/i")
+    code, shown = _run(capsys, *arguments)
+    assert code == 3 and "connect_failed" in shown and shown.count("\n") == 1
+    assert _run(capsys, *arguments[:3], "http://x/i")[0] == 1
+
+
 @pytest.mark.parametrize(
     ("arguments", "code"),
     [
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from carobsail import errors, platform_client, services
+from carobsail import errors, inventorysource, services
 from carobsail.standin_platform import InventoryStandin
 from carobsail.standin_service import ServiceCut, ServiceStandin
 from tests import builders_io as build
@@ -78,7 +78,7 @@
     """R12: the inventory is old, and its outage must not raise."""
     standin = InventoryStandin(b"1", lag_s=5.0)
     await standin.start("127.0.0.1")
-    client = platform_client.InventoryClient(standin.url)
+    client = inventorysource.InventorySource(standin.url)
     standin.publish(b"2")
     assert await client.fetch() == b"1"
     await asyncio.sleep(6.0)
@@ -87,5 +87,5 @@
     failure = await client.fetch()
     assert failure.step is errors.Step.CONFIGURE
     assert failure.outcome is errors.Outcome.FAILED
-    with pytest.raises(ValueError, match="not http"):
-        platform_client.InventoryClient("https://x/inventory")
+    with pytest.raises(ValueError, match="expected a URL"):
+        inventorysource.InventorySource("https://x/inventory")
