Grant targets again to an only instance that restarted

A planned stop hands the grant back. With no other instance to take the targets the map stayed as it was, so the restarted process had handed back the epoch in force and was refused every grant: its data centre served nothing for good. Found by stopping and starting the only entry process; a usable owner that handed back now causes a new epoch.

--- a/carobsail/ownership.py
+++ b/carobsail/ownership.py
@@ -212,7 +212,12 @@
             owner = self.owners[target]
             if now < free_at and self._holds(owner):
                 result[target] = owner
-        return result if result != self.owners else None
+        # A usable owner that handed its grant back has restarted since; only
+        # a new epoch lets it be granted its targets again.
+        restarted = {o for o in result.values() if not self._holds(o)}
+        if result != self.owners or not restarted.isdisjoint(usable):
+            return result
+        return None
 
     def _withhold(self, moving: set[str]) -> None:
         if moving == self._free_at.keys():
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -80,6 +80,21 @@
     assert set(grant.targets) == {t for t, o in moved.items() if o == rest[0]}
 
 
+def test_restarted_only_owner_is_granted_its_targets_again():
+    """A restart must not leave the only instance without targets (R7)."""
+    book = ownership.OwnershipBook()
+    book.adopt(1, dict.fromkeys(TARGETS, "only"))
+    book.handed_back("only", 1)
+    assert book.propose(TARGETS, [], 0.1) is None
+    again = book.propose(TARGETS, ["only"], 0.2)
+    assert again == book.owners
+    book.adopt(2, again)
+    assert book.propose(TARGETS, ["only"], 0.3) is None
+    assert set(book.grant("only", beat(), 0.3, True, 1.0).targets) == set(
+        TARGETS
+    )
+
+
 def test_withheld_target_is_not_granted():
     """A target on the move must not be renewed to its old owner (R1)."""
     book = granted_book()
