--- a/carobsail/standin.py
+++ b/carobsail/standin.py
@@ -1,12 +1,12 @@
 """Program `carobsail-standin`: the outside systems of a demo or test.
 
-One process runs all stand-ins of a JSON description: each engine and service
+One process runs all stand-ins of a description (JSON with comments): each
+engine and service
 of its inventory at its listed address, the weight store, the key-value
 service and the inventory itself.
 """
 
 import asyncio
-import pathlib
 import signal
 from typing import Protocol
 
@@ -15,6 +15,7 @@
 
 from carobsail import (
     inventory,
+    settings,
     standin_engine,
     standin_keyvalue,
     standin_platform,
@@ -114,12 +115,19 @@
     """Runs the stand-ins of a description until a signal arrives.
 
     Args:
-      description: Path of the JSON description.
+      description: File of the description.
     """
-    content = pathlib.Path(description).read_bytes()
-    asyncio.run(_run(msgspec.json.decode(content, type=Description)))
+    try:
+        loaded = settings.load(description, Description)
+    except settings.SettingsError as error:
+        raise SystemExit(str(error)) from error
+    asyncio.run(_run(loaded))
 
 
 def main() -> None:
     """Entry point of `carobsail-standin`."""
     fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/builders_processes.py
@@ -0,0 +1,86 @@
+"""Real processes on free loopback ports, with the shipped examples."""
+
+import pathlib
+import re
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from carobsail import localdeployment
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+BOUND_S = 25.0
+
+
+def wait_until(holds, process=None):
+    """Polls a condition; fails if it does not hold within the bound."""
+    until = time.monotonic() + BOUND_S
+    while not (found := holds()):
+        assert process is None or process.poll() is None, process.args
+        assert time.monotonic() < until, holds
+        time.sleep(0.05)
+    return found
+
+
+def get(address, path):
+    """Returns status and body; status 0 while nothing listens."""
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}") as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+    except OSError:
+        return 0, ""
+
+
+class Programs:
+    """Processes started from copies of the example settings."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.running = {}
+        ports, given = localdeployment.FreePorts(), {}
+        for file in (EXAMPLES / "local").glob("*.json"):
+            text = re.sub(
+                r'(127\.0\.0\.1:|_port": )(\d+)',
+                lambda m: m[1] + str(given.setdefault(m[2], ports())),
+                file.read_text(),
+            )
+            (directory / file.name).write_text(text)
+        self.address = {n: f"127.0.0.1:{port}" for n, port in given.items()}
+
+    def log(self, name):
+        return (self.directory / f"{name}.log").read_text()
+
+    def start(self, name):
+        with (self.directory / f"{name}.log").open("a") as log:
+            self.running[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    f"carobsail.{name}",
+                    str(self.directory / f"{name}.json"),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+        return self.running[name]
+
+    def ctl(self, *arguments):
+        """Runs carobsailctl; returns exit code and output."""
+        done = subprocess.run(
+            [
+                *(sys.executable, "-m", "carobsail.ctl", *arguments),
+                *("--settings", str(self.directory / "carobsailctl.json")),
+            ],
+            capture_output=True,
+            text=True,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def close(self):
+        for process in self.running.values():
+            process.kill()
+            process.wait()
