Refuse wrong input with reason, step and peer

Requests refused before a handler (size, timeouts, malformed HTTP, too many connections) were answered with bare text and not logged; callers of the openai client saw no code. They now carry the same error body and log line as later refusals. The stand-ins' description checks ports and addresses.

--- a/carobsail/errors.py
+++ b/carobsail/errors.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+from typing import Any
 
 
 class Outcome(enum.StrEnum):
@@ -97,3 +98,19 @@
     def __str__(self) -> str:
         text = f"{self.reason} at {self.step} (peer {self.peer})"
         return f"{text}: {self.detail}" if self.detail else text
+
+    def describe(self, status: int) -> dict[str, Any]:
+        """Returns the body in the OpenAI error form of an HTTP answer."""
+        return {
+            "error": {
+                "message": str(self),
+                "type": "invalid_request_error"
+                if status < 500
+                else "server_error",
+                "code": str(self.reason),
+                "param": None,
+                "step": str(self.step),
+                "peer": self.peer,
+                "outcome": str(self.outcome),
+            }
+        }
--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import dataclasses
+import json
 import logging
 from collections.abc import Awaitable, Callable
 
 import h11
 
+from carobsail import errors, telemetry
+
 _READ_BYTES = 65_536
 # A caller that sent more pipelined bytes than this is not read from, and not
 # watched for its departure, until its current answer is finished.
@@ -19,6 +22,10 @@
 # Lets a caller read an early refusal before unread bytes reset the connection.
 _LINGER_S = 1.0
 
+_TIMEOUT = errors.Reason.TIMEOUT
+_OVERLOADED = errors.Reason.OVERLOADED
+_TOO_LARGE = errors.Reason.BODY_TOO_LARGE
+
 _log = logging.getLogger(__name__)
 
 
@@ -155,9 +162,17 @@
 class RefusalError(Exception):
     """A request that is answered without a handler."""
 
-    def __init__(self, status: int, detail: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        detail: str,
+        reason: errors.Reason = errors.Reason.BAD_REQUEST,
+    ) -> None:
         super().__init__(detail)
         self.status = status
+        self.failure = errors.Failure(
+            reason, errors.Step.READ, "caller", detail=detail
+        )
 
 
 class Connection:
@@ -231,7 +246,9 @@
     async def turn_away(self) -> None:
         """Refuses a connection above the bound."""
         try:
-            await self._refuse(RefusalError(503, "too many connections"))
+            await self._refuse(
+                RefusalError(503, "too many connections", _OVERLOADED)
+            )
         finally:
             await self._close()
 
@@ -293,7 +310,9 @@
                     await self._receive()
                     event = self.machine.next_event()
         except TimeoutError:
-            raise RefusalError(408, "request headers took too long") from None
+            raise RefusalError(
+                408, "request headers took too long", _TIMEOUT
+            ) from None
         if not isinstance(event, h11.Request):
             return None
         # h11 bounds only headers that arrive in parts.
@@ -307,7 +326,9 @@
             async with asyncio.timeout(bounds.body_timeout_s):
                 body = await self._read_body(headers, bounds.body_bytes)
         except TimeoutError:
-            raise RefusalError(408, "request body took too long") from None
+            raise RefusalError(
+                408, "request body took too long", _TIMEOUT
+            ) from None
         path, _, query = event.target.decode("latin-1").partition("?")
         return Request(
             event.method.decode(), path, query, headers, body, self._client
@@ -316,7 +337,7 @@
     async def _read_body(
         self, headers: list[tuple[str, str]], limit: int
     ) -> bytes:
-        refusal = RefusalError(413, f"body exceeds {limit} bytes")
+        refusal = RefusalError(413, f"body exceeds {limit} bytes", _TOO_LARGE)
         length = next((v for k, v in headers if k == "content-length"), "0")
         if int(length) > limit:
             raise refusal
@@ -344,9 +365,21 @@
     async def _refuse(self, refusal: RefusalError) -> None:
         """Answers without a handler and closes."""
         if self.machine.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = f"{refusal}\n".encode()
+            failure = refusal.failure
+            telemetry.log(
+                _log,
+                "request_refused",
+                reason=str(failure.reason),
+                step=str(failure.step),
+                peer=self._client,
+                outcome=str(failure.outcome),
+                detail=failure.detail,
+            )
+            plain = failure.describe(refusal.status)
+            body = json.dumps(plain).encode() + b"\n"
             headers = [
-                ("content-type", "text/plain"),
+                ("content-type", "application/json"),
+                ("x-outcome", str(failure.outcome)),
                 ("content-length", str(len(body))),
                 ("connection", "close"),
             ]
--- a/carobsail/requests.py
+++ b/carobsail/requests.py
@@ -274,15 +274,4 @@
 
 def error_body(failure: errors.Failure) -> dict[str, Any]:
     """Returns the error object of a failure."""
-    status = status_of(failure)
-    return {
-        "error": {
-            "message": str(failure),
-            "type": "invalid_request_error" if status < 500 else "server_error",
-            "code": str(failure.reason),
-            "param": None,
-            "step": str(failure.step),
-            "peer": failure.peer,
-            "outcome": str(failure.outcome),
-        }
-    }
+    return failure.describe(status_of(failure))
--- a/carobsail/standin.py
+++ b/carobsail/standin.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import signal
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import fire
 import msgspec
@@ -35,6 +35,9 @@
         """Cuts all connections and stops listening."""
 
 
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
 class Description(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What to run.
 
@@ -50,12 +53,21 @@
 
     inventory: inventory.Inventory
     host: str = "127.0.0.1"
-    keyvalue_port: int = 2379
-    inventory_port: int = 2380
+    keyvalue_port: Port = 2379
+    inventory_port: Port = 2380
     inventory_lag_s: float = 0.0
     resident: dict[str, list[str]] = {}
     service_latency_s: float = 0.01
 
+    def __post_init__(self) -> None:
+        """Checks the addresses of the targets.
+
+        Raises:
+          ValueError: An address is malformed.
+        """
+        for target in self.inventory.targets:
+            settings.parse_address(target.address)
+
 
 async def start(description: Description) -> dict[str, Standin]:
     """Starts all stand-ins.
--- /dev/null
+++ b/tests/builders_local.py
@@ -0,0 +1,66 @@
+"""A small deployment on loopback, and raw requests to it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+
+from carobsail import demo, deployments, localdeployment
+
+SIZE = dataclasses.replace(
+    deployments.VALTELLINA,
+    regions={"sondrio-a": "sondrio", "sondrio-b": "sondrio"},
+    pools={"scrivano": 1, "sportello": 1},
+    models=2,
+    adapters=2,
+    instances=2,
+)
+KEY = demo.access_key("clerks")
+CHAT = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+BODY = json.dumps({"model": "scrivano-1", "messages": [], "max_tokens": 2})
+
+
+@contextlib.asynccontextmanager
+async def local(layout=None):
+    """Runs a deployment whose only model used is resident."""
+    layout = layout or {"scrivano-engine-1": ["scrivano-1"]}
+    async with localdeployment.LocalDeployment(SIZE, layout) as deployment:
+        started = demo.Demo(deployment, 1)
+        await started.configure()
+        await deployment.wait_until_ready()
+        running = deployment.instances["entry-1"]
+        await deployment.wait_for(
+            lambda: running.entry.instance.current.policies
+        )
+        yield deployment
+        started.close()
+
+
+def executions(deployment):
+    """Returns how many requests any target has run."""
+    booked = deployment.service("registrations-1").executions
+    return sum(e.executions.total() for e in deployment.engines()) + len(booked)
+
+
+async def send(address, raw):
+    """Sends raw bytes; returns status and body."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw.encode() if isinstance(raw, str) else raw)
+    async with asyncio.timeout(10):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        body = await reader.readexactly(length)
+    writer.close()
+    return int(head.split()[1]), body.decode()
+
+
+def chat(body=BODY, key=KEY, *headers):
+    """Returns the raw bytes of a chat request."""
+    lines = [*headers, f"content-length: {len(body)}"]
+    if key:
+        lines.append(f"authorization: Bearer {key}")
+    return CHAT + "".join(f"{line}\r\n" for line in lines) + "\r\n" + body
