Refuse request paths with dot segments

An operation with a wildcard path let a caller append '../bookings', also escaped, which a service resolves to a call that the client account may not make. Such paths are answered 400 before anything is sent on.

--- a/carobsail/requests.py
+++ b/carobsail/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import urllib.parse
 from typing import Any
 
 import msgspec
@@ -121,6 +122,10 @@
     Returns:
       The checked request, or a failure with outcome NOT_RUN.
     """
+    if _leaves(path):
+        # The target would resolve it to a path outside the operation's.
+        detail = f"path {path!r} has a segment . or .."
+        return refuse(errors.Reason.BAD_REQUEST, detail)
     operation = policy.operation(method, path)
     if operation is None:
         detail = f"client account {policy.account} has no {method} {path}"
@@ -162,6 +167,12 @@
     )
 
 
+def _leaves(path: str) -> bool:
+    """Tells whether a path has dot segments, escaped or not."""
+    plain = urllib.parse.unquote(path).replace("\\", "/")
+    return any(segment in (".", "..") for segment in plain.split("/"))
+
+
 def _target_path(
     operation: configuration.Operation, path: str, query: str
 ) -> str:
