--- a/carobsail/peers.py
+++ b/carobsail/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import logging
 from collections.abc import AsyncIterator, Sequence
 
 import cbor2
@@ -14,7 +15,7 @@
 from websockets.asyncio import connection as websocket_connection
 from websockets.asyncio import server as websocket_server
 
-from carobsail import errors, handshake, messages
+from carobsail import errors, handshake, messages, telemetry
 from carobsail.links import Connect, Link, MemoryLink, OnLink
 from carobsail.peerset import MemoryNetwork, PeerSet
 
@@ -163,6 +164,13 @@
             self._pump.cancel()
 
 
+_log = logging.getLogger(__name__)
+# The library logs faults of a link's handler. Its own logger would write
+# tracebacks of several lines to stderr.
+_websockets_log = logging.getLogger(f"{telemetry.LOGGER_NAME}.websockets")
+_websockets_log.setLevel(logging.ERROR)
+
+
 def _lift_size_limit(connection: websocket_connection.Connection) -> None:
     connection.protocol.max_message_size = MAX_FRAME_BYTES
 
@@ -196,6 +204,16 @@
         except (TimeoutError, websockets.ConnectionClosed):
             return
         if isinstance(peer, errors.Failure):
+            telemetry.log(
+                _log,
+                "peer_refused",
+                level=logging.WARNING,
+                reason=str(peer.reason),
+                step=str(peer.step),
+                peer=peer.peer,
+                address=str(connection.remote_address),
+                detail=peer.detail,
+            )
             return
         _lift_size_limit(connection)
         link = WebsocketLink(peer, connection)
@@ -212,6 +230,7 @@
         max_size=HANDSHAKE_BYTES,
         open_timeout=HANDSHAKE_TIMEOUT_S,
         close_timeout=CLOSE_TIMEOUT_S,
+        logger=_websockets_log,
     )
 
 
--- a/tests/builders_local.py
+++ b/tests/builders_local.py
@@ -29,9 +29,12 @@
         await started.configure()
         await deployment.wait_until_ready()
         running = deployment.instances["entry-1"]
-        await deployment.wait_for(
-            lambda: running.entry.instance.current.policies
-        )
+        lookup = "GET /services/registrations/registrations/A HTTP/1.1\r\n"
+        lookup += f"host: x\r\nauthorization: Bearer {KEY}\r\n\r\n"
+        async with asyncio.timeout(10):
+            # No single event tells that grants and targets have arrived.
+            while (await send(running.callers, lookup))[0] != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
         yield deployment
         started.close()
 
@@ -43,12 +46,15 @@
 
 
 async def send(address, raw):
-    """Sends raw bytes; returns status and body."""
+    """Sends raw bytes; returns status and body, 0 without an answer."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(raw.encode() if isinstance(raw, str) else raw)
     async with asyncio.timeout(10):
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return 0, ""
         length = 0
         for line in head.lower().split(b"\r\n"):
             if line.startswith(b"content-length:"):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import random
+import sys
 
 import pytest
 from builders_coordination import run_virtual
 
-from carobsail import errors, messages, peers
+from carobsail import errors, messages, peers, telemetry
 
 
 def hello(name, version=1, minimum=1):
@@ -89,6 +90,27 @@
     server.close()
 
 
+async def test_fault_of_a_link_is_one_log_line(capsys):
+    """A traceback of several lines would break the log's form."""
+    telemetry.configure_logging("info", sys.stderr)
+
+    async def on_link(link):
+        raise RuntimeError("fault")
+
+    server = await peers.serve_peers(
+        "127.0.0.1", 0, hello("server"), [b"a"], on_link
+    )
+    port = server.sockets[0].getsockname()[1]
+    link = await peers.connect_peer(
+        f"127.0.0.1:{port}", hello("client"), [b"a"]
+    )
+    assert [message async for message in link] == []
+    server.close()
+    await server.wait_closed()
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line.startswith("time=") and "RuntimeError: fault" in line
+
+
 async def test_memory_link_backpressure_and_cut():
     """An unbounded queue to a stuck peer would exhaust memory (R17)."""
     left, right = peers.MemoryLink.pair(hello("a"), hello("b"), limit=2)
