--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -1,6 +1,7 @@
 """Models and adapters of one owned engine, and the orders that move them."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
     orders,
     ownedtargets,
     targetrunner,
+    telemetry,
 )
 
 Permit = Callable[[str], Callable[[], None] | None]
@@ -33,6 +35,7 @@
         "_client",
         "_directory",
         "_grants",
+        "_metrics",
         "_tasks",
         "_waiters",
         "pool",
@@ -44,8 +47,10 @@
         client: engines.EngineClient,
         holder: grants.GrantHolder,
         targets: directory.TargetDirectory,
+        metrics: telemetry.Metrics,
     ) -> None:
         """Creates the gate of one engine."""
+        self._metrics = metrics
         self.pool = pool
         self._client = client
         self._grants = holder
@@ -126,6 +131,9 @@
                 order.adapter, self._grants.epoch
             )
         self.pool.answered(order, failure)
+        if failure is None:
+            moved = "loaded" if order.load else "unloaded"
+            self._metrics.count(f"adapters.{moved}")
         if order.load:
             for waiter in self._waiters.pop(order.adapter, []):
                 if not waiter.done():
@@ -144,8 +152,12 @@
     __slots__ = (
         "_adopted",
         "_client",
+        "_directory",
         "_ended",
         "_grants",
+        "_leaving_since",
+        "_log",
+        "_metrics",
         "_report",
         "_runner",
         "_target",
@@ -164,6 +176,8 @@
         loads: adapters.LoadsInFlight,
         permit: Permit,
         rng: random.Random,
+        metrics: telemetry.Metrics,
+        log: logging.Logger,
     ) -> None:
         """Creates the memory side of an engine that was granted just now.
 
@@ -177,21 +191,31 @@
           loads: Bound on adapter loads under way.
           permit: Takes a permit of the weight store for a model load.
           rng: Source of the backoff's jitter.
+          metrics: Counts orders.
+          log: Receives an event for each order.
         """
+        self._metrics = metrics
+        self._log = log
         self._target = target
         self._client = client
         self._grants = holder
         self._runner = runner
+        self._directory = targets
         self._report: engines.EngineReport | None = None
         self._adopted = 0
         self._ended = False
+        self._leaving_since: dict[str, float] = {}
         self.gate: PoolGate = PoolGate(
-            adapters.AdapterPool(target, loads), client, holder, targets
+            adapters.AdapterPool(target, loads),
+            client,
+            holder,
+            targets,
+            metrics,
         )
         guards = orders.Guards(
             may_order=self._may_order,
-            may_unload=lambda m: targets.has_other_copy(m, target.name),
-            drained=lambda model: not runner.flights.uses(model),
+            may_unload=self._may_unload,
+            drained=self._drained,
             permit=permit,
             size_mb=targets.size_mb,
         )
@@ -202,8 +226,28 @@
         owns = self._grants.owns(self._target.name, now)
         return owns and not self._ended and self._grants.may_order(now)
 
+    def _may_unload(self, model: str) -> bool:
+        """Tells whether the model stays reachable without this copy."""
+        name = _name_of(model)
+        others = (m for m in self._resident() if m != model)
+        if any(_name_of(other) == name for other in others):
+            return True  # Another version of it is resident here.
+        return self._directory.has_other_copy(name, self._target.name)
+
+    def _drained(self, model: str) -> bool:
+        """Tells whether the requests sent before a model left have ended.
+
+        Later ones run on another version of the model, if there are any.
+        """
+        since = self._leaving_since.setdefault(model, _now())
+        return not self._runner.flights.uses(_name_of(model), since)
+
     def models(self) -> list[str]:
-        """See base class.
+        """See base class."""
+        return sorted({_name_of(model) for model in self._resident()})
+
+    def _resident(self) -> set[str]:
+        """Returns the model versions to which requests may be sent.
 
         Models that the latest report lists are served as well: a new owner
         need not wait for the settling of its ledger to send requests.
@@ -216,12 +260,12 @@
                 for model in self._report.models
                 if book.hold_of(model) is not ledger.Hold.UNLOADING
             )
-        return sorted(found - self.orders.leaving)
+        return found - self.orders.leaving
 
     def progress(self) -> messages.TargetProgress:
         """See base class."""
         book = self.orders.ledger
-        resident = self.models()
+        resident = sorted(self._resident())
         held = book.intents()
         reserved = sorted(set(held) - set(resident))
         return messages.TargetProgress(
@@ -270,12 +314,49 @@
             if failure is not None:
                 return
             self._adopted = epoch
-        await self.orders.step()
+        before = set(self.orders.ledger.models(ledger.Hold.RESIDENT))
+        result = await self.orders.step()
+        after = set(self.orders.ledger.models(ledger.Hold.RESIDENT))
+        self._record(result, after - before, before - after)
+        for model in self._leaving_since.keys() - self.orders.leaving:
+            del self._leaving_since[model]
+
+    def _record(
+        self,
+        result: bool | errors.Failure,
+        loaded: set[str],
+        unloaded: set[str],
+    ) -> None:
+        """Logs and counts what an order did."""
+        name = self._target.name
+        if isinstance(result, errors.Failure):
+            self._metrics.count("orders.failed")
+            telemetry.log(
+                self._log,
+                "order_failed",
+                level=logging.WARNING,
+                target=name,
+                reason=str(result.reason),
+                outcome=str(result.outcome),
+                detail=result.detail,
+            )
+        if result is not True:
+            return
+        for event, models in (("loaded", loaded), ("unloaded", unloaded)):
+            for model in sorted(models):
+                self._metrics.count(f"models.{event}")
+                telemetry.log(
+                    self._log, f"model_{event}", target=name, model=model
+                )
 
     def end(self) -> None:
         """See base class."""
         self._ended = True
 
 
+def _name_of(model: str) -> str:
+    return orders.split_version(model)[0]
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/entry.py
+++ b/carobsail/entry.py
@@ -16,6 +16,7 @@
     callmeter,
     clients,
     entryinstance,
+    entryparts,
     errors,
     etcd,
     httpserver,
@@ -56,11 +57,14 @@
     Attributes:
       caller_listen: `host:port` of the callers' port.
       routing_policy: Name of the routing policy.
+      stop_notice_s: Seconds between the first sign of a planned stop and the
+        closing of the callers' port, for the balancer to notice.
       bounds: Bounds of the callers' port.
     """
 
     caller_listen: str
     routing_policy: str = "due_time"
+    stop_notice_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
     bounds: CallerBounds = CallerBounds()
 
     def __post_init__(self) -> None:
@@ -110,10 +114,11 @@
         link = await peers.connect_peer(address, hello, secrets)
         return link if isinstance(link, errors.Failure) else shape(link)
 
+    meter = callmeter.CallMeter(service, DEFAULT_CALLS_PER_S)
     return entryinstance.EntryInstance(
-        entryinstance.Surroundings(
+        entryparts.Surroundings(
             hello=hello,
-            key_value=callmeter.CallMeter(service, DEFAULT_CALLS_PER_S),
+            key_value=meter,
             connect=connect,
             clients=clients.HttpClients(),
             secrets=secrets,
@@ -122,6 +127,7 @@
             metrics=telemetry.Metrics(loaded.statsd),
             log=logging.getLogger(telemetry.LOGGER_NAME),
             routing_policy=loaded.routing_policy,
+            set_call_rate=meter.set_rate,
         )
     )
 
@@ -141,8 +147,10 @@
         callers: httpserver.Server,
         operators: httpserver.Server,
         peer_server: peers.PeerServer,
+        notice_s: float,
     ) -> None:
         """Takes servers that listen already."""
+        self._notice_s = notice_s
         self.instance = instance
         self.callers = callers
         self.operators = operators
@@ -151,6 +159,8 @@
     async def stop(self) -> None:
         """Stops gracefully: cuts no request in flight."""
         await self.instance.leave()
+        # The balancer needs time to see that the instance is not ready.
+        await asyncio.sleep(self._notice_s)
         await self.callers.drain()
         await self.instance.stop()
         self._peers.close()
@@ -194,7 +204,7 @@
         operatorport.OperatorPort(
             dump=instance.dump,
             healthy=lambda: not instance.failed.is_set(),
-            ready=lambda: instance.gateway.ready,
+            ready=lambda: instance.ready,
         ).handle,
         httpserver.Bounds(),
         "operators",
@@ -209,7 +219,9 @@
         host, port, instance.gateway.handle, bounds, "callers"
     )
     instance.start()
-    return EntryServers(instance, callers, operators, peer_server)
+    return EntryServers(
+        instance, callers, operators, peer_server, loaded.stop_notice_s
+    )
 
 
 async def serve(loaded: EntrySettings) -> int:
