Ignore repeated dispatches at the receiving instance

Cause: a gateway that passed another data centre's request on opened a second receiver under the same attempt when the message came twice. The first answer then had no reader, and its caller waited for ever; the second could be routed to another target than the first. The owner's queue already ignores repeats of an attempt that it ran itself.

Change: EntryLinks remembers the last 16,384 attempts that it received and ignores and counts repeats.

--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 from carobsail import (
@@ -20,6 +21,8 @@
 )
 
 ENTRY = "entry"
+# At 7,100 requests/s over 330 nodes, attempts of more than ten minutes.
+MAX_SEEN = 16_384
 
 
 class _LinkSink(attempts.Sink):
@@ -52,6 +55,7 @@
         "_owners",
         "_receivers",
         "_route",
+        "_seen",
         "_under_way",
         "gateways",
         "peers",
@@ -86,6 +90,10 @@
         self._owners = owners
         self._route = policy
         self._metrics = metrics
+        # Attempts received here, oldest first.
+        self._seen: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         # Attempts sent over each link that have not ended.
         self._under_way: dict[links.Link, dict[str, attempts.Receiver]] = {}
 
@@ -201,7 +209,18 @@
     def receive_dispatch(
         self, link: links.Link, request: messages.Dispatch
     ) -> None:
-        """Runs an attempt that another instance sent."""
+        """Runs an attempt that another instance sent.
+
+        A repeated message is ignored, even after the attempt has ended: it
+        would run a non-idempotent operation twice, or be routed to another
+        target than the first and take over the first's answer.
+        """
+        if request.attempt in self._seen:
+            self._metrics.count("repeated_dispatches")
+            return
+        self._seen[request.attempt] = None
+        if len(self._seen) > MAX_SEEN:
+            self._seen.popitem(last=False)
         if not request.target:
             request = self._route_here(link, request)
             if request.target not in self._dispatcher.runners:
