Resume streams also when owner and leader die together

Cause: a stream was given up 8 s after its owner was lost.

Change: RESUME_WAIT_S is 13 s: 8 s for the lease and 4 s for grants.

--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -24,8 +24,10 @@
 
 # A whole answer that is not streamed is held in memory up to this size.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Ownership moves within 6 s of an owner's death.
-RESUME_WAIT_S = 8.0
+# Ownership moves within 6 s of an owner's death. When the leader ran on the
+# same instance, a successor takes up to 8 s, and then waits out the grants
+# of unknown age for 4 s.
+RESUME_WAIT_S = 13.0
 RESUME_INTERVAL_S = 0.5
 
 
