Publish only the models of live engines to other data centres

Cause: the residency of a data centre was counted from the last progress of each engine, also of engines that are unhealthy, leaving or no longer listed. Other data centres went on to send requests that failed there.

Change: only engines that answer and are listed as live are counted.

--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -263,12 +263,31 @@
             confirmed = self.relay.confirmed(required)
             await self._applied.publish(confirmed, self._fence(), self._now())
             await self._residency.publish(
-                self.plans.progress.values(),
+                self._serving_engines(self.inventory),
                 self._services(self.inventory),
                 self._fence(),
                 self._now(),
             )
 
+    def _serving_engines(
+        self, listed: inventory.Inventory
+    ) -> list[messages.TargetProgress]:
+        """Returns the progress of the engines that other data centres use.
+
+        Progress outlives its engine; counting an engine that is dead,
+        leaving or no longer listed would attract requests that fail here.
+        """
+        live = {
+            target.name
+            for target in listed.in_data_centre(self._context.data_centre)
+            if target.state is inventory.State.LIVE
+        }
+        return [
+            entry
+            for entry in self.plans.progress.values()
+            if entry.healthy and entry.target in live
+        ]
+
     def _services(self, listed: inventory.Inventory) -> list[str]:
         return [
             target.pool
