--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -7,13 +7,13 @@
 
 import asyncio
 import dataclasses
-import json
 import logging
 from collections.abc import Awaitable, Callable
 
 import h11
 
-from carobsail import errors, telemetry
+from carobsail import errors
+from carobsail.refusals import RefusalError
 
 _READ_BYTES = 65_536
 # A caller that sent more pipelined bytes than this is not read from, and not
@@ -22,9 +22,6 @@
 # Lets a caller read an early refusal before unread bytes reset the connection.
 _LINGER_S = 1.0
 
-_TIMEOUT = errors.Reason.TIMEOUT
-_OVERLOADED = errors.Reason.OVERLOADED
-_TOO_LARGE = errors.Reason.BODY_TOO_LARGE
 
 _log = logging.getLogger(__name__)
 
@@ -159,22 +156,6 @@
     draining: bool = False
 
 
-class RefusalError(Exception):
-    """A request that is answered without a handler."""
-
-    def __init__(
-        self,
-        status: int,
-        detail: str,
-        reason: errors.Reason = errors.Reason.BAD_REQUEST,
-    ) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.failure = errors.Failure(
-            reason, errors.Step.READ, "caller", detail=detail
-        )
-
-
 class Connection:
     """One caller's connection."""
 
@@ -247,7 +228,9 @@
         """Refuses a connection above the bound."""
         try:
             await self._refuse(
-                RefusalError(503, "too many connections", _OVERLOADED)
+                RefusalError(
+                    503, "too many connections", errors.Reason.OVERLOADED
+                )
             )
         finally:
             await self._close()
@@ -311,7 +294,7 @@
                     event = self.machine.next_event()
         except TimeoutError:
             raise RefusalError(
-                408, "request headers took too long", _TIMEOUT
+                408, "request headers took too long", errors.Reason.TIMEOUT
             ) from None
         if not isinstance(event, h11.Request):
             return None
@@ -327,7 +310,7 @@
                 body = await self._read_body(headers, bounds.body_bytes)
         except TimeoutError:
             raise RefusalError(
-                408, "request body took too long", _TIMEOUT
+                408, "request body took too long", errors.Reason.TIMEOUT
             ) from None
         path, _, query = event.target.decode("latin-1").partition("?")
         return Request(
@@ -337,7 +320,9 @@
     async def _read_body(
         self, headers: list[tuple[str, str]], limit: int
     ) -> bytes:
-        refusal = RefusalError(413, f"body exceeds {limit} bytes", _TOO_LARGE)
+        refusal = RefusalError(
+            413, f"body exceeds {limit} bytes", errors.Reason.BODY_TOO_LARGE
+        )
         length = next((v for k, v in headers if k == "content-length"), "0")
         if int(length) > limit:
             raise refusal
@@ -365,24 +350,7 @@
     async def _refuse(self, refusal: RefusalError) -> None:
         """Answers without a handler and closes."""
         if self.machine.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            failure = refusal.failure
-            telemetry.log(
-                _log,
-                "request_refused",
-                reason=str(failure.reason),
-                step=str(failure.step),
-                peer=self._client,
-                outcome=str(failure.outcome),
-                detail=failure.detail,
-            )
-            plain = failure.describe(refusal.status)
-            body = json.dumps(plain).encode() + b"\n"
-            headers = [
-                ("content-type", "application/json"),
-                ("x-outcome", str(failure.outcome)),
-                ("content-length", str(len(body))),
-                ("connection", "close"),
-            ]
+            body, headers = refusal.answer(self._client)
             self.send(
                 h11.Response(status_code=refusal.status, headers=headers)  # type: ignore[arg-type]
             )
