--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,238 @@
+"""Slopes of memory and processor time of the decision modules.
+
+Run with `python -m bench.capacity`. Memory is what tracemalloc counts for the
+state alone; processor time is the median of repetitions in one process.
+"""
+
+import dataclasses
+import json
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from bench import fleet
+from carobsail import (
+    configuration,
+    directory,
+    dispatcher,
+    engines,
+    estimation,
+    inventory,
+    membership,
+    messages,
+    prefixes,
+    relay,
+    routing,
+)
+
+TARGETS = (62, 125, 250, 500)
+BLOCKS = (8192, 16_384, 32_768, 65_536)
+LISTED = (1500, 3000, 6000, 12_000)
+ACCOUNTS = (1000, 2000, 4000, 8000)
+REPEATS = 40
+ENGINES_PER_OWNER = 36
+ADAPTERS_PER_ENGINE = 10
+PROMPT_BYTES = 8192
+
+Row = dict[str, Any]
+
+
+def _median_us(action: Callable[[], object], repeats: int = REPEATS) -> float:
+    times = []
+    for _ in range(repeats):
+        started = time.process_time_ns()
+        action()
+        times.append((time.process_time_ns() - started) / 1000)
+    return round(statistics.median(times), 1)
+
+
+def _kept_kb(build: Callable[[], object]) -> tuple[float, float]:
+    """Returns memory kept by the result, and its peak, in kB."""
+    tracemalloc.start()
+    kept = build()
+    size, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return round(size / 1000, 1), round(peak / 1000, 1)
+
+
+def _loads(listed: inventory.Inventory) -> dict[str, messages.Loads]:
+    """Returns the full loads of each owner of the data centre's engines."""
+    found: dict[str, list[messages.TargetLoad]] = {}
+    for number, target in enumerate(listed.in_data_centre(fleet.HERE)):
+        owner = f"instance-{number // ENGINES_PER_OWNER:02}"
+        adapters = [
+            f"adapter-{(number + n) % fleet.ADAPTERS}"
+            for n in range(ADAPTERS_PER_ENGINE)
+        ]
+        models = fleet.resident_models(number)
+        load = messages.TargetLoad(target.name, 8, 4000, models, adapters, True)
+        found.setdefault(owner, []).append(load)
+    return {o: messages.Loads(1, True, loads) for o, loads in found.items()}
+
+
+def _directory(listed: inventory.Inventory) -> directory.TargetDirectory:
+    known = directory.TargetDirectory(
+        fleet.HERE,
+        dispatcher.Dispatcher(),
+        lambda _: [],
+        estimation.Speeds(),
+        prefixes.PrefixIndex(),
+    )
+    known.update_inventory(listed, 1)
+    for owner, loads in _loads(listed).items():
+        data = messages.encode(loads)
+        decoded = messages.decode(data)
+        assert isinstance(decoded, messages.Loads)
+        known.report(owner, decoded, 0.0)
+    return known
+
+
+def measure_targets(count: int) -> Row:
+    """Measures a routing choice and the reported loads by known targets."""
+    listed = fleet.build_inventory([], count, count)
+    known = _directory(listed)
+    policy = routing.create("due_time", random.Random(1))
+    demand = directory.Demand("model-1", "model-1", "adapter-1", 400, 150.0)
+    request = routing.RouteRequest(
+        "model-1", 10.0, 1.0, "adapter-1", 2000, 30_000
+    )
+    reports = _loads(listed)
+    encoded = {o: messages.encode(m) for o, m in reports.items()}
+    changed = {
+        owner: messages.encode(
+            messages.Loads(1, False, [], {}, [x.counts() for x in m.targets])
+        )
+        for owner, m in reports.items()
+    }
+
+    def views() -> list[routing.TargetView]:
+        return known.views(demand, 1.0, False)
+
+    def receive(sent: dict[str, bytes]) -> None:
+        for owner, data in sent.items():
+            loads = messages.decode(data)
+            assert isinstance(loads, messages.Loads)
+            known.report(owner, loads, 1.0)
+
+    candidates = views()
+    everywhere = [
+        dataclasses.replace(candidates[0], name=f"t{n}") for n in range(count)
+    ]
+    return {
+        "targets": count,
+        "candidates": len(candidates),
+        "views_us": _median_us(views),
+        "choose_us": _median_us(
+            lambda: policy.choose(request, candidates, 1.0)
+        ),
+        "choose_all_us": _median_us(
+            lambda: policy.choose(request, everywhere, 1.0)
+        ),
+        "loads_received_us": _median_us(lambda: receive(encoded)),
+        "counts_received_us": _median_us(lambda: receive(changed)),
+        "loads_bytes": sum(len(data) for data in encoded.values()),
+        "counts_bytes": sum(len(data) for data in changed.values()),
+        "directory_kb": _kept_kb(lambda: _directory(listed))[0],
+    }
+
+
+def measure_prefixes(blocks: int) -> Row:
+    """Measures the prefix index by the blocks that it holds."""
+    rng = random.Random(1)
+    per_engine = blocks // ENGINES_PER_OWNER
+
+    def build() -> prefixes.PrefixIndex:
+        index = prefixes.PrefixIndex(blocks)
+        for number in range(ENGINES_PER_OWNER):
+            held = tuple(rng.getrandbits(64) for _ in range(per_engine))
+            event = engines.CacheEvent(1, 1, "stored", held)
+            index.apply(f"engine-{number}", event)
+        return index
+
+    index = build()
+    held = len(index)
+    prompt = rng.randbytes(PROMPT_BYTES)
+    hashes = prefixes.hash_blocks("model-1", "", prompt)
+    index.assume("engine-1", hashes)
+    return {
+        "blocks": blocks,
+        "held": held,
+        "index_kb": _kept_kb(build)[0],
+        "hash_8_kib_us": _median_us(
+            lambda: prefixes.hash_blocks("model-1", "", prompt)
+        ),
+        "share_us": _median_us(lambda: index.cached_share("engine-1", hashes)),
+    }
+
+
+def measure_inventory(count: int) -> Row:
+    """Measures reading the platform's document by its targets."""
+    engines_here = min(500, count // fleet.DATA_CENTRES)
+    document = fleet.document(fleet.build_inventory([], engines_here, count))
+    kept, peak = _kept_kb(lambda: inventory.parse(document))
+    return {
+        "targets": count,
+        "document_kb": round(len(document) / 1000, 1),
+        "parse_ms": _median_us(lambda: inventory.parse(document), 10) / 1000,
+        "inventory_kb": kept,
+        "parse_peak_kb": peak,
+    }
+
+
+def measure_relay(accounts: int) -> Row:
+    """Measures one account's change at the leader and a receiver."""
+    documents = fleet.documents(accounts)
+    source = relay.Relay(relay.ConfigurationState())
+    source.load(1, documents)
+    receivers = [
+        membership.Process(f"instance-{n:02}", role)
+        for n in range(fleet.INSTANCES)
+        for role in ("entry", "control")
+    ][1:]
+    for process in receivers:
+        source.heard(process, 1)
+    revisions = iter(range(2, 1_000_000))
+    key = f"{relay.PREFIX}accounts/account-1"
+
+    def change() -> None:
+        revision = next(revisions)
+        value = fleet.changed_account(1, 1000 + revision)
+        source.record([relay.keyvalue.WatchEvent(key, value, revision)])
+        now = revision * 1.0
+        for process in receivers:
+            message = source.due(process, now)
+            assert message is not None
+            messages.encode(message)
+            source.sent(process, now)
+            source.heard(process, revision)
+
+    whole = messages.Snapshot(1, documents)
+    rendered = configuration.ConfigurationSet()
+    return {
+        "accounts": accounts,
+        "receivers": len(receivers),
+        "leader_change_us": _median_us(change),
+        "snapshot_kb": round(len(messages.encode(whole)) / 1000, 1),
+        "rendered_kb": _kept_kb(lambda: rendered.replaced_by(1, documents))[0],
+        "documents_kb": _kept_kb(lambda: fleet.documents(accounts))[0],
+    }
+
+
+def run() -> dict[str, list[Row]]:
+    """Measures all slopes."""
+    return {
+        "targets": [measure_targets(count) for count in TARGETS],
+        "prefixes": [measure_prefixes(count) for count in BLOCKS],
+        "inventory": [measure_inventory(count) for count in LISTED],
+        "relay": [measure_relay(count) for count in ACCOUNTS],
+    }
+
+
+if __name__ == "__main__":
+    for part, rows in run().items():
+        for row in rows:
+            print(part, json.dumps(row))
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,272 @@
+"""Counts control messages of a data centre by type, on virtual time.
+
+Run with `python -m bench.traffic`. The processes are the real controllers
+and entry instances over in-memory links; engines are stand-ins in memory
+that are all busy, so every load is reported, and callers ask for
+`REQUESTS_PER_S` of random models and accounts at each instance. No plan
+changes. Bytes are those of a node, sent and received: the encoded message and
+`OVERHEAD_BYTES` of headers for each. Messages between the two processes of a
+node are not counted.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import logging
+import random
+import statistics
+from typing import Any
+
+import msgspec
+
+from bench import fleet
+from bench.coordination import OVERHEAD_BYTES
+from carobsail import (
+    answers,
+    clients,
+    engines,
+    entryinstance,
+    entryparts,
+    estimation,
+    inventory,
+    keyvalue,
+    links,
+    messages,
+    ownedtargets,
+    relay,
+    telemetry,
+)
+from tests import builders_coordination as build
+from tests import fake_engine
+
+ENGINES_PER_INSTANCE = 36
+SIZES = (2, 4, 8, 14, 28)
+SETTLED_S = 30.0
+MEASURED_S = 60.0
+IN_FLIGHT = 8
+REQUESTS_PER_S = 21  # 7,100 at 330 nodes.
+# 78,000 configuration changes a day.
+CHANGE_INTERVAL_S = 86_400 / 78_000
+
+Row = dict[str, Any]
+# Messages and bytes by node and message type.
+Counts = dict[str, collections.Counter[str]]
+
+
+class _Engine(fake_engine.FakeEngine):
+    """Starts with models and adapters, and has no cache events."""
+
+    def __init__(self, target: inventory.Target) -> None:
+        sizes = {f"model-{n}": 14_000 for n in range(fleet.MODELS)}
+        super().__init__(target, sizes, set(), [])
+        number = int(target.name.rpartition("-")[2])
+        self.models = dict.fromkeys(fleet.resident_models(number), 14_000)
+        self._adapters = {f"adapter-{number + n}": 100 for n in range(10)}
+
+    async def report(self) -> Any:
+        """See base class."""
+        found = await super().report()
+        return dataclasses.replace(
+            found, adapters=self._adapters, running=IN_FLIGHT
+        )
+
+    async def cache_events(self, *_: Any) -> Any:
+        """See base class."""
+        return []
+
+    send = resume = cancel = fake_engine.FakeEngine._unused
+    load_adapter = unload_adapter = fake_engine.FakeEngine._unused
+
+
+class _Clients(clients.Clients):
+    """In-memory engines."""
+
+    def __init__(self) -> None:
+        self._engines: dict[str, _Engine] = {}
+
+    def engine(self, target: inventory.Target) -> engines.EngineClient:
+        """See base class."""
+        if target.name not in self._engines:
+            self._engines[target.name] = _Engine(target)
+        return self._engines[target.name]
+
+    def sender(self, target: inventory.Target) -> answers.Sender:
+        """See base class."""
+        return ownedtargets.EngineSender(self.engine(target))
+
+
+class Centre(build.Centre):
+    """A data centre of real entry instances and controllers."""
+
+    def document(self) -> bytes:
+        """Returns the platform's inventory."""
+        instances = [
+            inventory.Instance(name, self.dc, f"{name}:1", f"{name}:2", state)
+            for name, state in sorted(self.states.items())
+        ]
+        count = len(self.targets)
+        listed = fleet.build_inventory(instances, count, count)
+        return fleet.document(
+            msgspec.structs.replace(listed, version=self.version)
+        )
+
+    def _start_entry(self, name: str) -> None:
+        hello = self.hello(name, "entry")
+        instance = entryinstance.EntryInstance(
+            entryparts.Surroundings(
+                hello,
+                self.wires[name],
+                self.network.connector(hello),
+                _Clients(),
+                [b"secret"],
+                random.Random(self.rng.random()),
+                lambda: 0.0,
+                telemetry.Metrics(""),
+                logging.getLogger(__name__),
+            )
+        )
+        self.entries[name] = instance
+        self.network.serve(f"{name}:1", hello, instance.on_link)
+        self._beats[name] = asyncio.create_task(asyncio.sleep(0))
+        instance.start()
+
+    async def kill_entry(self, name: str) -> Any:
+        """Ends an entry instance."""
+        self.network.stop(f"{name}:1")
+        found = self.entries.pop(name)
+        await found.kill()
+        return found
+
+    def ask(self) -> None:
+        """Counts the requests of one second at each instance."""
+        for instance in self.entries.values():
+            for _ in range(REQUESTS_PER_S):
+                model = f"model-{self.rng.randrange(fleet.MODELS)}"
+                instance.reporter.asked.count(model, 480)
+                account = f"account-{self.rng.randrange(fleet.ACCOUNTS)}"
+                instance.reporter.accounts.count(account, 0.0)
+
+    def keep_busy(self) -> int:
+        """Gives each engine work; returns the number of owned engines."""
+        owned = 0
+        for instance in self.entries.values():
+            for runner in instance.dispatcher.runners.values():
+                owned += 1
+                for n in range(IN_FLIGHT):
+                    work = estimation.Work(400 + n, 1e6)
+                    runner.work.add(f"busy-{n}", work)
+        return owned
+
+
+class _Meter:
+    """Counts what links carry, by node and message type."""
+
+    def __init__(self) -> None:
+        self.messages: Counts = {}
+        self.bytes: Counts = {}
+        self._sizes: dict[int, tuple[messages.Message, int]] = {}
+        self._offer = links.MemoryLink.offer
+
+    def __enter__(self) -> "_Meter":
+        meter = self
+        offer = self._offer
+
+        def counted(link: links.MemoryLink, message: messages.Message) -> bool:
+            meter.count(link, message)
+            return offer(link, message)
+
+        links.MemoryLink.offer = counted  # type: ignore[method-assign]
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        links.MemoryLink.offer = self._offer  # type: ignore[method-assign]
+
+    def count(self, link: links.MemoryLink, message: messages.Message) -> None:
+        """Counts a message at both ends."""
+        sender, receiver = link._other.peer, link.peer
+        if sender.instance == receiver.instance:
+            return
+        known = self._sizes.get(id(message))
+        if known is None or known[0] is not message:
+            known = message, len(messages.encode(message))
+            self._sizes[id(message)] = known
+        kind = type(message).__name__
+        if kind == "Heartbeat" and sender.role == receiver.role == "entry":
+            kind = "Heartbeat between entries"
+        for name in (sender.instance, receiver.instance):
+            size = known[1] + OVERHEAD_BYTES
+            self.messages.setdefault(name, collections.Counter())[kind] += 1
+            self.bytes.setdefault(name, collections.Counter())[kind] += size
+
+
+async def _measure(size: int, per_instance: int, seed: int) -> list[Row]:
+    service = keyvalue.MemoryKeyValue()
+    for key, value in fleet.documents(100).items():
+        await service.transact([], [keyvalue.Put(key, value)])
+    centre = Centre(
+        service, seed=seed, targets=size * per_instance, dc=fleet.HERE
+    )
+    for number in range(size):
+        centre.add(f"instance-{number:02}")
+    await asyncio.sleep(SETTLED_S)
+    owned = centre.keep_busy()
+    assert owned == size * per_instance, owned
+    leader = centre.leader()
+    service.calls.clear()
+    loop = asyncio.get_running_loop()
+    with _Meter() as meter:
+        end, number = loop.time() + MEASURED_S, 0
+        while loop.time() < end:
+            number += 1
+            key = f"{relay.PREFIX}accounts/account-{number % 100}"
+            value = fleet.changed_account(number % 100, 900 + number)
+            await service.transact([], [keyvalue.Put(key, value)])
+            centre.ask()
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+    calls = sum(service.calls.values()) - number
+    rows = _rows(meter, leader, size, owned)
+    rows[0]["key_value_calls_per_s"] = round(calls / MEASURED_S, 2)
+    await centre.close()
+    return rows
+
+
+def _rows(meter: _Meter, leader: str, size: int, owned: int) -> list[Row]:
+    kinds = sorted({k for found in meter.bytes.values() for k in found})
+    others = [name for name in meter.bytes if name != leader]
+    rows = []
+    for kind in ["all", *kinds]:
+        row: Row = {"instances": size, "engines": owned, "message": kind}
+        for what, counts in (
+            ("messages", meter.messages),
+            ("bytes", meter.bytes),
+        ):
+            at = {
+                name: (found.total() if kind == "all" else found[kind])
+                / MEASURED_S
+                for name, found in counts.items()
+            }
+            row[f"leader_node_{what}_per_s"] = round(at[leader], 2)
+            row[f"other_node_{what}_per_s"] = round(
+                statistics.mean(at[name] for name in others), 2
+            )
+        rows.append(row)
+    return rows
+
+
+def measure(
+    size: int, per_instance: int = ENGINES_PER_INSTANCE, seed: int = 1
+) -> list[Row]:
+    """Measures one number of instances; the first row is the total."""
+    rows: list[Row] = build.run_virtual(_measure(size, per_instance, seed))
+    return rows
+
+
+def run(seed: int) -> list[Row]:
+    """Measures all sizes."""
+    return [row for size in SIZES for row in measure(size, seed=seed)]
+
+
+if __name__ == "__main__":
+    for row in run(1):
+        print(json.dumps(row))
