--- a/carobsail/inventorysource.py
+++ b/carobsail/inventorysource.py
@@ -11,9 +11,13 @@
 
 
 class InventorySource:
-    """Client of the inventory document."""
+    """Client of the inventory document.
 
-    __slots__ = ("_path", "_pool")
+    An unchanged document is not transferred again if the platform answers
+    with an ETag: at 12,000 targets one reading a second takes 3.6 MB/s.
+    """
+
+    __slots__ = ("_content", "_etag", "_path", "_pool")
 
     def __init__(self, url: str) -> None:
         """Creates a client without connections.
@@ -23,12 +27,17 @@
         """
         address, self._path = settings.parse_url(url)
         self._pool = httpclient.Pool(address, 2, FETCH_TIMEOUT_S, "inventory")
+        self._etag = ""
+        self._content = b""
 
     async def fetch(self) -> bytes | errors.Failure:
         """Returns the document's bytes."""
+        headers = [("if-none-match", self._etag)] if self._etag else []
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                answer = await self._pool.request("GET", self._path, [], b"")
+                answer = await self._pool.request(
+                    "GET", self._path, headers, b""
+                )
                 if isinstance(answer, errors.Failure):
                     return _as_read(answer)
                 content = await answer.read(_DOCUMENT_BYTES)
@@ -37,10 +46,14 @@
             return _as_read(failure)
         if isinstance(content, errors.Failure):
             return _as_read(content)
+        if answer.status == 304 and self._etag:
+            return self._content
         if answer.status != 200:
             detail = f"status {answer.status}"
             failure = self._pool.failure(errors.Reason.TARGET_ERROR, detail)
             return _as_read(failure)
+        self._etag = answer.header("etag") or ""
+        self._content = content if self._etag else b""
         return content
 
     def close(self) -> None:
