Allow the last copy of a model that nobody uses to be unloaded

Cause: an owner kept the last copy of every model, also of one that no client account uses any more.

Change: the guard of unloads asks whether a client account uses the model; without a configuration it counts as used.

--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -164,6 +164,7 @@
         loads: adapters.LoadsInFlight,
         permit: Permit,
         rng: random.Random,
+        in_use: Callable[[str], bool] = lambda model: True,
     ) -> None:
         """Creates the memory side of an engine that was granted just now.
 
@@ -177,6 +178,9 @@
           loads: Bound on adapter loads under way.
           permit: Takes a permit of the weight store for a model load.
           rng: Source of the backoff's jitter.
+          in_use: Tells whether a client account uses a model. The last copy
+            of another one may be unloaded; kept, it could take the room of
+            a model in use for ever.
         """
         self._target = target
         self._client = client
@@ -190,7 +194,9 @@
         )
         guards = orders.Guards(
             may_order=self._may_order,
-            may_unload=lambda m: targets.has_other_copy(m, target.name),
+            may_unload=lambda m: (
+                targets.has_other_copy(m, target.name) or not in_use(m)
+            ),
             drained=lambda model: not runner.flights.uses(model),
             permit=permit,
             size_mb=targets.size_mb,
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -218,10 +218,18 @@
             self._adapter_loads,
             lambda model: _unlimited,
             around.rng,
+            self._in_use,
         )
         runner.adapters = engine.gate
         return engine
 
+    def _in_use(self, model: str) -> bool:
+        """Tells whether a client account uses a model; True if unknown."""
+        if not self.current.revision:
+            return True
+        policies = self.current.policies.values()
+        return any(model in policy.models for policy in policies)
+
     def _on_crash(self, target: str) -> None:
         telemetry.log(
             self._around.log,
