Check model replacement, drains and acceptance under failure

Cause: removing the memory ledger's bound, the drain of an owner, the hand back, the confirmation of revisions or the rejection of old revisions let all promise scenarios pass.

--- /dev/null
+++ b/tests/cluster_links.py
@@ -0,0 +1,80 @@
+"""Links and ways to the key-value service that can fail."""
+
+import asyncio
+
+import builders_coordination as build
+from cluster_targets import lost
+
+from carobsail import errors, links, messages
+
+
+class Wire(build.Wire):
+    """A way to the key-value service that can also be slow."""
+
+    delay_s, lose_claims = 0.002, 0
+
+    async def _pass(self, call, *args):
+        await asyncio.sleep(self.delay_s)
+        return await super()._pass(call, *args)
+
+    async def transact(self, compares, writes):
+        result = await super().transact(compares, writes)
+        claims = [w for w in writes if "/carobsail-claims/v/" in w.key]
+        if claims and self.lose_claims:
+            self.lose_claims -= 1
+            return lost(errors.Reason.UNAVAILABLE, errors.Outcome.UNKNOWN)
+        return result
+
+
+class FaultyLink(links.Link):
+    """Repeats each request and each ended answer late, after others."""
+
+    def __init__(self, link, cluster):
+        self.link, self.cluster, self.sent = link, cluster, {}
+        super().__init__(link.peer)
+
+    @property
+    def closed(self):
+        return self.link.closed
+
+    @closed.setter
+    def closed(self, value):
+        self.link.closed = value
+
+    def _repeat(self, message):
+        if not self.cluster.doubling:
+            return
+        replayed = [message]
+        if isinstance(message, messages.Head | messages.Chunk):
+            self.sent.setdefault(message.attempt, []).append(message)
+            return
+        if isinstance(message, messages.End | messages.Failed):
+            replayed = [*self.sent.pop(message.attempt, []), message]
+        elif not isinstance(
+            message,
+            messages.Dispatch
+            | messages.Claim
+            | messages.Settle
+            | messages.Snapshot
+            | messages.Delta,
+        ):
+            return
+        for old in replayed:
+            for delay_s in (0.01, 4.0):
+                asyncio.get_running_loop().call_later(
+                    delay_s, self.link.offer, old
+                )
+
+    async def send(self, message):
+        self._repeat(message)
+        return await self.link.send(message)
+
+    def offer(self, message):
+        self._repeat(message)
+        return self.link.offer(message)
+
+    async def close(self):
+        await self.link.close()
+
+    def __aiter__(self):
+        return self.link.__aiter__()
--- a/tests/cluster_world.py
+++ b/tests/cluster_world.py
@@ -1,8 +1,11 @@
 """What the steps of the promises' scenarios keep between them."""
 
+import json
+
 import cluster
+import cluster_targets
 
-from carobsail import acceptance
+from carobsail import acceptance, httpserver
 
 
 class World:
@@ -55,3 +58,13 @@
             timeout_s,
         )
         return result.status == 0
+
+    async def issue_key(self, instance):
+        """Returns an idempotency key that an instance issues."""
+        call = cluster_targets.Call(instance, b"", "")
+        auth = [("authorization", "Bearer v-counter-1")]
+        request = httpserver.Request(
+            "POST", "/v1/idempotency-keys", "", auth, b"", "caller"
+        )
+        await self.cluster.entries[instance].gateway.handle(request, call)
+        return json.loads(call.body_back)["idempotency_key"]
