--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -155,6 +155,7 @@
         "_directory",
         "_ended",
         "_grants",
+        "_in_use",
         "_leaving_since",
         "_log",
         "_metrics",
@@ -178,6 +179,7 @@
         rng: random.Random,
         metrics: telemetry.Metrics,
         log: logging.Logger,
+        in_use: Callable[[str], bool] = lambda model: True,
     ) -> None:
         """Creates the memory side of an engine that was granted just now.
 
@@ -193,7 +195,11 @@
           rng: Source of the backoff's jitter.
           metrics: Counts orders.
           log: Receives an event for each order.
+          in_use: Tells whether a client account uses a model. The last copy
+            of another one may be unloaded; kept, it could take the room of
+            a model in use for ever.
         """
+        self._in_use = in_use
         self._metrics = metrics
         self._log = log
         self._target = target
@@ -229,6 +235,8 @@
     def _may_unload(self, model: str) -> bool:
         """Tells whether the model stays reachable without this copy."""
         name = _name_of(model)
+        if not self._in_use(name):
+            return True
         others = (m for m in self._resident() if m != model)
         if any(_name_of(other) == name for other in others):
             return True  # Another version of it is resident here.
