--- a/carobsail/standin.py
+++ b/carobsail/standin.py
@@ -1,20 +1,21 @@
 """Program `carobsail-standin`: the outside systems of a demo or test.
 
-One process runs all stand-ins of a JSON description: each engine and service
+One process runs all stand-ins of a description (JSON with comments): each
+engine and service
 of its inventory at its listed address, the weight store, the key-value
 service and the inventory itself.
 """
 
 import asyncio
-import pathlib
 import signal
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import fire
 import msgspec
 
 from carobsail import (
     inventory,
+    settings,
     standin_engine,
     standin_keyvalue,
     standin_platform,
@@ -34,6 +35,9 @@
         """Cuts all connections and stops listening."""
 
 
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
 class Description(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What to run.
 
@@ -49,12 +53,21 @@
 
     inventory: inventory.Inventory
     host: str = "127.0.0.1"
-    keyvalue_port: int = 2379
-    inventory_port: int = 2380
+    keyvalue_port: Port = 2379
+    inventory_port: Port = 2380
     inventory_lag_s: float = 0.0
     resident: dict[str, list[str]] = {}
     service_latency_s: float = 0.01
 
+    def __post_init__(self) -> None:
+        """Checks the addresses of the targets.
+
+        Raises:
+          ValueError: An address is malformed.
+        """
+        for target in self.inventory.targets:
+            settings.parse_address(target.address)
+
 
 async def start(description: Description) -> dict[str, Standin]:
     """Starts all stand-ins.
@@ -114,12 +127,19 @@
     """Runs the stand-ins of a description until a signal arrives.
 
     Args:
-      description: Path of the JSON description.
+      description: File of the description.
     """
-    content = pathlib.Path(description).read_bytes()
-    asyncio.run(_run(msgspec.json.decode(content, type=Description)))
+    try:
+        loaded = settings.load(description, Description)
+    except settings.SettingsError as error:
+        raise SystemExit(str(error)) from error
+    asyncio.run(_run(loaded))
 
 
 def main() -> None:
     """Entry point of `carobsail-standin`."""
     fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
