--- a/carobsail/httpserver.py
+++ b/carobsail/httpserver.py
@@ -76,14 +76,14 @@
         self._settings.draining = True
         if self._listener:
             self._listener.close()
-        if self._connections:
+        while self._connections:
             await asyncio.wait(
                 self._connections.values(), timeout=_DRAIN_IDLE_S
             )
-        for connection in list(self._connections):
-            connection.close_idle()
-        if self._connections:
-            await asyncio.wait(self._connections.values())
+            # An answer that had started before did not announce the end of
+            # its connection, which is idle afterwards.
+            for connection in list(self._connections):
+                connection.close_idle()
 
     async def close(self) -> int:
         """Cuts everything at once; returns the number of requests cut."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -119,6 +119,22 @@
     assert asyncio.get_running_loop().time() < 5.0
 
 
+async def test_drain_closes_connections_whose_answer_had_started():
+    """R7: such a connection held a planned stop up for its idle timeout."""
+
+    async def handler(request, responder):
+        await responder.start(200, [])
+        await asyncio.sleep(3.0)
+        await responder.finish()
+
+    server = await build.server(handler)
+    kept = asyncio.create_task(build.exchange(server.port, GET))
+    await asyncio.sleep(1.0)
+    await server.drain()
+    assert (await kept).endswith(b"0\r\n\r\n")
+    assert asyncio.get_running_loop().time() < 5.0
+
+
 async def test_close_counts_the_requests_cut():
     """R7: a forced stop must say what it cut."""
 
