--- a/carobsail/directory.py
+++ b/carobsail/directory.py
@@ -204,6 +204,12 @@
             self._reported.report(
                 load.target, load.in_flight, load.queued_tokens, now
             )
+        for count in loads.counts:
+            known = self._loads.get(count.target)
+            if known is not None and known[0] == owner:
+                self._reported.report(
+                    count.target, count.in_flight, count.queued_tokens, now
+                )
 
     def forget(self, owner: str) -> None:
         """Forgets the loads reported by an instance that is gone."""
@@ -231,6 +237,14 @@
         """Forgets a sending that ended."""
         self._reported.ended(target, attempt)
 
+    def assume_cached(self, target: str, demand: Demand) -> None:
+        """Notes that a target will have a request's prompt in its cache.
+
+        Cache events reach owners only, and late.
+        """
+        if demand.blocks:
+            self._prefixes.assume(target, demand.blocks)
+
     def owner_of(self, target: str) -> str | None:
         """Returns the instance that reported the target's load last."""
         if target in self._dispatcher.runners:
--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -14,13 +14,17 @@
     dispatcher,
     errors,
     forwarder,
+    inventory,
     links,
     messages,
+    ownership,
     routing,
     telemetry,
 )
 
 ENTRY = "entry"
+# Three heartbeats to other data centres, which are sent every 2 s.
+GATEWAY_SILENCE_S = 6.0
 # At 7,100 requests/s over 330 nodes, attempts of more than ten minutes.
 MAX_SEEN = 16_384
 
@@ -51,6 +55,7 @@
     __slots__ = (
         "_directory",
         "_dispatcher",
+        "_heard_at",
         "_metrics",
         "_owners",
         "_receivers",
@@ -90,6 +95,7 @@
         self._owners = owners
         self._route = policy
         self._metrics = metrics
+        self._heard_at: dict[links.Link, float] = {}
         # Attempts received here, oldest first.
         self._seen: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -165,8 +171,21 @@
         else:
             self.gateways[link.peer.data_centre] = link
 
+    def heard(self, link: links.Link, now: float) -> None:
+        """Notes that a message came over a link."""
+        self._heard_at[link] = now
+
+    def silent_gateways(self, now: float) -> list[links.Link]:
+        """Returns the links to other data centres that went silent."""
+        return [
+            link
+            for link in self.gateways.values()
+            if now - self._heard_at.get(link, now) > GATEWAY_SILENCE_S
+        ]
+
     def lost(self, link: links.Link) -> None:
         """Ends the attempts under way over a link that broke."""
+        self._heard_at.pop(link, None)
         table = self.gateways
         name = link.peer.data_centre
         if name == self._directory.data_centre:
@@ -282,5 +301,35 @@
                 return
 
 
+def choose_addresses(
+    listed: inventory.Inventory, instance: str, data_centre: str
+) -> list[str]:
+    """Returns the entry processes to which an instance connects.
+
+    One of each pair of instances in a data centre connects to the other, and
+    each instance connects to one gateway in each other data centre.
+
+    Args:
+      listed: The inventory.
+      instance: The instance.
+      data_centre: Its data centre.
+    """
+    addresses = []
+    others: dict[str, list[inventory.Instance]] = {}
+    for listed_instance in listed.instances:
+        if listed_instance.data_centre == data_centre:
+            if listed_instance.name > instance:
+                addresses.append(listed_instance.entry_peer)
+        elif listed_instance.state is inventory.State.LIVE:
+            centre = others.setdefault(listed_instance.data_centre, [])
+            centre.append(listed_instance)
+    for candidates in others.values():
+        gateway = max(
+            candidates, key=lambda i: ownership.score(instance, i.name)
+        )
+        addresses.append(gateway.entry_peer)
+    return addresses
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -12,6 +12,9 @@
 
 import h11
 
+from carobsail import errors
+from carobsail.refusals import RefusalError
+
 _READ_BYTES = 65_536
 # A caller that sent more pipelined bytes than this is not read from, and not
 # watched for its departure, until its current answer is finished.
@@ -19,6 +22,7 @@
 # Lets a caller read an early refusal before unread bytes reset the connection.
 _LINGER_S = 1.0
 
+
 _log = logging.getLogger(__name__)
 
 
@@ -152,14 +156,6 @@
     draining: bool = False
 
 
-class RefusalError(Exception):
-    """A request that is answered without a handler."""
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
 class Connection:
     """One caller's connection."""
 
@@ -231,7 +227,11 @@
     async def turn_away(self) -> None:
         """Refuses a connection above the bound."""
         try:
-            await self._refuse(RefusalError(503, "too many connections"))
+            await self._refuse(
+                RefusalError(
+                    503, "too many connections", errors.Reason.OVERLOADED
+                )
+            )
         finally:
             await self._close()
 
@@ -293,7 +293,9 @@
                     await self._receive()
                     event = self.machine.next_event()
         except TimeoutError:
-            raise RefusalError(408, "request headers took too long") from None
+            raise RefusalError(
+                408, "request headers took too long", errors.Reason.TIMEOUT
+            ) from None
         if not isinstance(event, h11.Request):
             return None
         # h11 bounds only headers that arrive in parts.
@@ -307,7 +309,9 @@
             async with asyncio.timeout(bounds.body_timeout_s):
                 body = await self._read_body(headers, bounds.body_bytes)
         except TimeoutError:
-            raise RefusalError(408, "request body took too long") from None
+            raise RefusalError(
+                408, "request body took too long", errors.Reason.TIMEOUT
+            ) from None
         path, _, query = event.target.decode("latin-1").partition("?")
         return Request(
             event.method.decode(), path, query, headers, body, self._client
@@ -316,7 +320,9 @@
     async def _read_body(
         self, headers: list[tuple[str, str]], limit: int
     ) -> bytes:
-        refusal = RefusalError(413, f"body exceeds {limit} bytes")
+        refusal = RefusalError(
+            413, f"body exceeds {limit} bytes", errors.Reason.BODY_TOO_LARGE
+        )
         length = next((v for k, v in headers if k == "content-length"), "0")
         if int(length) > limit:
             raise refusal
@@ -344,12 +350,7 @@
     async def _refuse(self, refusal: RefusalError) -> None:
         """Answers without a handler and closes."""
         if self.machine.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = f"{refusal}\n".encode()
-            headers = [
-                ("content-type", "text/plain"),
-                ("content-length", str(len(body))),
-                ("connection", "close"),
-            ]
+            body, headers = refusal.answer(self._client)
             self.send(
                 h11.Response(status_code=refusal.status, headers=headers)  # type: ignore[arg-type]
             )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -19,6 +19,7 @@
     control,
     controller,
     entryinstance,
+    entryparts,
     errors,
     httpserver,
     inventory,
@@ -174,7 +175,7 @@
             )  # fmt: skip
         else:
             process = self.entries[name] = entryinstance.EntryInstance(
-                entryinstance.Surroundings(
+                entryparts.Surroundings(
                     hello, key_value, connect, Clients(self.targets), SECRETS,
                     rng, lambda: 1e9 + asyncio.get_running_loop().time(),
                     telemetry.Metrics(), logging.getLogger("test"),
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,17 +9,20 @@
 
 from carobsail import (
     attempts,
-    demand,
     directory,
     dispatcher,
     errors,
     estimation,
     exchange,
     forwarder,
+    grants,
     inventory,
     messages,
+    ownedtargets,
     prefixes,
+    reporting,
     routing,
+    suspects,
     telemetry,
 )
 
@@ -110,7 +113,14 @@
         routing.create("least_outstanding", random.Random(1)),
         transport,
         receivers,
-        demand.DemandCounter(0.0),
+        reporting.Reporter(
+            ownedtargets.OwnedTargets(
+                dispatcher.Dispatcher(), grants.GrantHolder(), None, None
+            ),
+            dispatcher.Dispatcher(),
+            0.0,
+        ),
+        suspects.SuspectBook("entry-1"),
         telemetry.Metrics(),
         random.Random(1),
     )
@@ -216,3 +226,20 @@
     await asyncio.wait((task,))
     assert transport.cancelled == [transport.sent[0][1]]
     assert len(subject.receivers) == 0
+
+
+async def test_slow_caller_ends_the_attempt_at_its_owner(monkeypatch):
+    """A caller that reads too slowly must not keep an engine's stream."""
+    monkeypatch.setattr(attempts, "MAX_BUFFERED_BYTES", 20)
+    sender = fakes.FakeSender(
+        resumes=[build_failure(errors.Outcome.FAILED)] * 50
+    )
+    subject, transport, opened = build({"engine-1": sender})
+
+    class Slow(Delivered):
+        async def write(self, data):
+            await asyncio.sleep(60.0)
+
+    result = await subject.run(opened, Slow())
+    assert isinstance(result, errors.Failure)
+    assert transport.sent[0][1] in transport.cancelled
