Name the settings of measured programs by keyword

Settings are now built inside the block that ends the stand-ins, which a failure left running until the timeout.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -133,11 +133,11 @@
     """
     around = world.World(sizes)
     programs: list[Program] = []
-    entry = world.entry_settings(around.instance, around.key_value_url)
-    control = world.control_settings(
-        around.instance, around.key_value_url, around.inventory_url
-    )
     try:
+        entry = world.entry_settings(around.instance, around.key_value_url)
+        control = world.control_settings(
+            around.instance, around.key_value_url, around.inventory_url
+        )
         with _settings(entry, control) as paths:
             programs = _start(paths, one)
             _wait(control.operator_listen, "role", "leader")
--- a/bench/world.py
+++ b/bench/world.py
@@ -285,13 +285,13 @@
     """Returns settings of an entry process on free ports."""
     callers, operators = free_ports(2)
     return entry.EntrySettings(
-        instance.name,
-        instance.data_centre,
-        f"{HOST}:{callers}",
-        instance.entry_peer,
-        f"{HOST}:{operators}",
-        key_value_url,
-        [SECRET],
+        instance=instance.name,
+        data_centre=instance.data_centre,
+        caller_listen=f"{HOST}:{callers}",
+        peer_listen=instance.entry_peer,
+        operator_listen=f"{HOST}:{operators}",
+        key_value_url=key_value_url,
+        peer_secrets=[SECRET],
     )
 
 
@@ -301,11 +301,11 @@
     """Returns settings of a control process on free ports."""
     (operators,) = free_ports(1)
     return control.ControlSettings(
-        instance.name,
-        instance.data_centre,
-        instance.control_peer,
-        f"{HOST}:{operators}",
-        key_value_url,
-        inventory_url,
-        [SECRET],
+        instance=instance.name,
+        data_centre=instance.data_centre,
+        peer_listen=instance.control_peer,
+        operator_listen=f"{HOST}:{operators}",
+        key_value_url=key_value_url,
+        inventory_url=inventory_url,
+        peer_secrets=[SECRET],
     )
