Measure relaying through both instances of a request

bench.relay only measured httpclient to httpserver in one process. It now starts engine stand-ins, the owner, the entry instance, a leader stand-in and a client, each in its own process, and reports processor time an event for both instances and latency percentiles from hdrhistogram.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,182 +1,226 @@
-"""Processor time of relaying a streamed token event over HTTP.
-
-`python -m bench.relay` starts a source of server-sent events and a relay
-(`httpclient` to `httpserver`) on loopback, each in a process of its own, and
-reads the relay's streams from a third. Figures are processor time of the
-relay's process for each event. A second pass under the profiler gives the
-share of that time spent in h11; the profiler adds a cost to each Python call,
-so it overstates h11 against the system calls.
+"""Processor time of relaying a streamed token event through two instances.
+
+`python -m bench.relay` starts, on loopback and each in a process of its own,
+engine stand-ins, an instance that owns them, an instance that takes the
+callers' requests, a stand-in of the leader, and a client. Both instances run
+the entry program's own servers and links. The figures are processor time of
+the owner and of the entry instance for each event, less their idle time, and
+the latency from the engine's write to the client's read, less that of the
+client reading from the engine directly. `--profile FILE` writes profiles of
+both instances to FILE.owner and FILE.entry instead.
 """
 
+import argparse
 import asyncio
 import cProfile
 import multiprocessing
 import multiprocessing.connection
-import pstats
+import socket
 import time
+from collections.abc import Iterator
 from typing import Any
 
-from carobsail import errors, httpclient, httpserver
+from bench import relayparts as parts
+from carobsail import entry, keyvalue
 
-STREAMS = (1, 4, 16)
-EVENTS = 4000
-PROFILED_EVENTS = 1000
-# 600 tokens/s of one engine are 16 streams at about 27 ms; the source sends
-# faster, and still leaves time for each event to be a read of its own.
-INTERVAL_S = 0.001
-_EVENT = b'id: 17\ndata: {"choices":[{"delta":{"content":"word "}}]}\n\n'
-_HOST = "127.0.0.1"
+STREAMS = (1, 4, 16, 64, 256)
+# 12,800 events/s, half of the goal of 25,000 on one core.
+HALF_STREAMS = 384
+ENGINES = 64
+WARM_S = 0.5
+WINDOW_S = 1.5
+IDLE_S = 1.5
+SETTLE_S = 2.5
 
+Row = dict[str, Any]
 
-async def _source(
-    request: httpserver.Request, responder: httpserver.Responder
-) -> None:
-    await responder.start(200, [("content-type", "text/event-stream")])
-    for _ in range(int(request.query)):
-        await responder.write(_EVENT)
-        await asyncio.sleep(INTERVAL_S)
-    await responder.finish()
-
-
-def _run_source(pipe: multiprocessing.connection.Connection) -> None:
-    async def run() -> None:
-        server = await httpserver.serve(
-            _HOST, 0, _source, httpserver.Bounds(), "source"
-        )
-        pipe.send(server.port)
-        await asyncio.to_thread(pipe.recv)
-        await server.close()
 
-    asyncio.run(run())
-
-
-async def _relay(pool: httpclient.Pool, counts: dict[str, int]) -> Any:
-    async def handler(
-        request: httpserver.Request, responder: httpserver.Responder
-    ) -> None:
-        path = f"{request.path}?{request.query}"
-        answer = await pool.request("GET", path, [], b"")
-        if isinstance(answer, errors.Failure):
-            raise RuntimeError(str(answer))
-        await responder.start(answer.status, [])
-        async for chunk in answer.chunks():
-            if isinstance(chunk, errors.Failure):
-                raise RuntimeError(str(chunk))
-            counts["chunks"] += 1
-            await responder.write(chunk)
-        await responder.finish()
-
-    return await httpserver.serve(
-        _HOST, 0, handler, httpserver.Bounds(), "relay"
+def _settings(name: str, ports: list[int]) -> entry.EntrySettings:
+    callers, peer, operators = (f"{parts.HOST}:{port}" for port in ports)
+    return entry.EntrySettings(
+        name, parts.DATA_CENTRE, callers, peer, operators, "", [parts.SECRET]
     )
 
 
-def _run_relay(
-    pipe: multiprocessing.connection.Connection, source: int, profiled: bool
+def _run_instance(
+    pipe: multiprocessing.connection.Connection,
+    name: str,
+    ports: list[int],
+    profile_path: str,
 ) -> None:
-    profile = cProfile.Profile(time.process_time)
+    """Runs an entry instance; answers each message with its processor time."""
+    profile = cProfile.Profile(time.process_time) if profile_path else None
 
     async def run() -> None:
-        pool = httpclient.Pool(f"{_HOST}:{source}", 64, 5.0)
-        counts = {"chunks": 0}
-        server = await _relay(pool, counts)
-        pipe.send(server.port)
-        # Blocks the loop; nothing arrives before the parent has answered.
-        pipe.recv()
-        start_s = time.process_time()
-        if profiled:
-            profile.enable()
+        loop = asyncio.get_running_loop()
+        servers = await entry.start(
+            _settings(name, ports), keyvalue.MemoryKeyValue()
+        )
         stop = asyncio.Event()
-        asyncio.get_running_loop().add_reader(pipe.fileno(), stop.set)
+
+        def answer() -> None:
+            try:
+                command = pipe.recv()
+            except EOFError:
+                loop.remove_reader(pipe.fileno())
+                stop.set()  # The bench was ended.
+                return
+            if command == "profile" and profile:
+                profile.enable()
+            elif command == "stop":
+                stop.set()
+            pipe.send(time.process_time())
+
+        loop.add_reader(pipe.fileno(), answer)
+        pipe.send("ready")
         await stop.wait()
-        profile.disable()
-        used_s = time.process_time() - start_s
-        asyncio.get_running_loop().remove_reader(pipe.fileno())
-        pipe.send((used_s, counts["chunks"], _h11_share(profile, profiled)))
-        await server.close()
+        loop.remove_reader(pipe.fileno())
+        if profile:
+            profile.disable()
+            profile.dump_stats(f"{profile_path}.{name}")
+        await servers.kill()
 
     asyncio.run(run())
 
 
-def _h11_share(profile: cProfile.Profile, profiled: bool) -> float:
-    if not profiled:
-        return 0.0
-    stats: Any = pstats.Stats(profile)
-    spent_s = sum(
-        entry[2] for key, entry in stats.stats.items() if "h11" in key[0]
-    )
-    return spent_s / stats.total_tt
-
-
-async def _read_streams(port: int, streams: int, events: int) -> int:
-    pool = httpclient.Pool(f"{_HOST}:{port}", 64, 5.0)
-
-    async def one() -> int:
-        answer = await pool.request("GET", f"/?{events}", [], b"")
-        if isinstance(answer, errors.Failure):
-            raise RuntimeError(str(answer))
-        body = await answer.read(1 << 30)
-        if isinstance(body, errors.Failure):
-            raise RuntimeError(str(body))
-        return len(body)
-
-    lengths = await asyncio.gather(*(one() for _ in range(streams)))
-    pool.close()
-    return sum(lengths)
-
-
-def _measure(
-    source: int, streams: int, events: int, profiled: bool
-) -> tuple[float, int, float]:
-    """Returns processor seconds, chunks relayed and the share of h11."""
-    context = multiprocessing.get_context("spawn")
-    pipe, child = context.Pipe()
-    relay = context.Process(target=_run_relay, args=(child, source, profiled))
-    relay.start()
-    try:
-        port = pipe.recv()
-        pipe.send("start")
-        each = events // streams
-        received = asyncio.run(_read_streams(port, streams, each))
-        if received != each * streams * len(_EVENT):
-            raise RuntimeError(f"{received} bytes arrived")
-        pipe.send("stop")
-        return pipe.recv()
-    finally:
-        relay.join(10.0)
-
-
-def run() -> list[dict[str, float]]:
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server((parts.HOST, 0)) for _ in range(count)]
+    found = [s.getsockname()[1] for s in sockets]
+    for taken in sockets:
+        taken.close()
+    return found
+
+
+class _Bench:
+    """The processes of one run."""
+
+    def __init__(self, profile_path: str) -> None:
+        self._context = multiprocessing.get_context("spawn")
+        self._started: list[tuple[Any, Any]] = []
+        _, ports = self._start(parts.run_engines, ENGINES)
+        self.engine_ports: list[int] = ports.recv()
+        callers = _free_ports(6)
+        self.port = callers[3]
+        instances = {"owner": callers[:3], "entry": callers[3:]}
+        self.instances = {
+            name: self._start(_run_instance, name, own, profile_path)[1]
+            for name, own in instances.items()
+        }
+        for pipe in self.instances.values():
+            pipe.recv()
+        addresses = {n: f"{parts.HOST}:{p[1]}" for n, p in instances.items()}
+        self._start(parts.run_leader, addresses, self.engine_ports)
+        _, self._client = self._start(parts.run_client)
+        time.sleep(SETTLE_S)
+
+    def _start(self, run: Any, *args: Any) -> tuple[Any, Any]:
+        pipe, child = self._context.Pipe()
+        process = self._context.Process(
+            target=run, args=(child, *args), daemon=True
+        )
+        process.start()
+        child.close()
+        self._started.append((process, pipe))
+        return process, pipe
+
+    def used_s(self, command: str = "time") -> dict[str, float]:
+        """Returns the processor seconds of each instance."""
+        for pipe in self.instances.values():
+            pipe.send(command)
+        return {name: pipe.recv() for name, pipe in self.instances.items()}
+
+    def idle(self) -> dict[str, float]:
+        """Returns processor seconds a second without streams."""
+        before = self.used_s()
+        time.sleep(IDLE_S)
+        after = self.used_s()
+        return {n: (after[n] - before[n]) / IDLE_S for n in after}
+
+    def measure(self, ports: list[int], streams: int) -> Row:
+        """Reads streams; returns events, latencies and processor seconds."""
+        open_s = streams * parts.OPEN_INTERVAL_S
+        tokens = round((WARM_S + 1.5 * open_s + WINDOW_S) / parts.INTERVAL_S)
+        self._client.send((ports, streams, tokens, WARM_S, WINDOW_S))
+        self._client.recv()
+        before, opened = self.used_s(), time.monotonic()
+        self._client.recv()
+        after, closed = self.used_s(), time.monotonic()
+        counted, (p50, p99), bad = self._client.recv()
+        if bad:
+            raise RuntimeError(f"{bad} of {streams} answers were not whole")
+        used = {n: after[n] - before[n] for n in after}
+        return {
+            "events": counted,
+            "p50_ms": p50,
+            "p99_ms": p99,
+            "used_s": used,
+            "window_s": closed - opened,
+        }
+
+    def stop(self) -> None:
+        """Ends the processes of this run."""
+        for process, pipe in self._started:
+            try:
+                pipe.send(None if pipe is self._client else "stop")
+            except OSError:
+                pass
+            process.join(5.0)
+            if process.is_alive():
+                process.terminate()
+
+
+def _row(bench: _Bench, idle: dict[str, float], streams: int) -> Row:
+    found = bench.measure([bench.port], streams)
+    us = {
+        name: (used - idle[name] * found["window_s"]) / found["events"] * 1e6
+        for name, used in found["used_s"].items()
+    }
+    both = sum(us.values())
+    return {
+        "streams": streams,
+        "events_per_s": round(found["events"] / found["window_s"]),
+        "owner_us": round(us["owner"], 1),
+        "entry_us": round(us["entry"], 1),
+        "both_us": round(both, 1),
+        "events_per_s_a_core": round(1e6 / both),
+        "owner_busy": round(found["used_s"]["owner"] / found["window_s"], 2),
+        "entry_busy": round(found["used_s"]["entry"] / found["window_s"], 2),
+        "p50_ms": round(found["p50_ms"], 2),
+        "p99_ms": round(found["p99_ms"], 2),
+    }
+
+
+def run(profile_path: str = "") -> Iterator[Row]:
     """Measures each number of streams.
 
-    Returns:
-      For each number of streams: processor time in µs for each event, events
-      in each relayed chunk, and the profiled share of h11 in percent.
+    Yields:
+      A row for each number of streams. The row of half the goal's load has
+      the added latencies too: less those of the same streams read from the
+      engines directly.
     """
-    context = multiprocessing.get_context("spawn")
-    pipe, child = context.Pipe()
-    source = context.Process(target=_run_source, args=(child,))
-    source.start()
-    rows = []
+    bench = _Bench(profile_path)
     try:
-        port = pipe.recv()
+        idle = bench.idle()
+        if profile_path:
+            bench.used_s("profile")
+            yield _row(bench, idle, STREAMS[-1])
+            return
         for streams in STREAMS:
-            used_s, chunks, _ = _measure(port, streams, EVENTS, False)
-            _, _, share = _measure(port, streams, PROFILED_EVENTS, True)
-            rows.append(
-                {
-                    "streams": streams,
-                    "us_per_event": round(used_s / EVENTS * 1e6, 1),
-                    "events_per_chunk": round(EVENTS / chunks, 2),
-                    "h11_percent": round(share * 100, 1),
-                }
-            )
+            yield _row(bench, idle, streams)
+        half = _row(bench, idle, HALF_STREAMS)
+        direct = bench.measure(bench.engine_ports, HALF_STREAMS)
+        half["added_p50_ms"] = round(half["p50_ms"] - direct["p50_ms"], 2)
+        half["added_p99_ms"] = round(half["p99_ms"] - direct["p99_ms"], 2)
+        yield half
     finally:
-        pipe.send("stop")
-        source.join(10.0)
-    return rows
+        bench.stop()
 
 
 if __name__ == "__main__":
-    for row in run():
-        print(" ".join(f"{name}={value}" for name, value in row.items()))
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--profile", default="")
+    for row in run(parser.parse_args().profile):
+        print(
+            " ".join(f"{name}={value}" for name, value in row.items()),
+            flush=True,
+        )
