Read whole chunks of an answer in bulk before h11

h11 took 3.3 of the owner's 12.9 profiled seconds: about two events, a header match and a state change for each token's chunk. Whole plain chunks are now taken out before h11 sees them; h11 keeps no state between chunks and still reads heads, chunks in part, extensions, the last chunk, trailers and errors. Hypothesis compares bytes, end and unused bytes with h11 alone over damaged and cut answers in random pieces.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from carobsail import errors
+from carobsail import answerbody, errors
 
 _READ_BYTES = 65_536
 _HEAD_BYTES = 65_536
@@ -33,7 +33,14 @@
 class _Connection:
     """One connection to the server."""
 
-    __slots__ = ("consumed", "idle_since", "machine", "reader", "writer")
+    __slots__ = (
+        "body",
+        "consumed",
+        "idle_since",
+        "machine",
+        "reader",
+        "writer",
+    )
 
     def __init__(self, reader: _Reader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
@@ -41,6 +48,7 @@
         self.machine = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
         )
+        self.body = answerbody.AnswerBody(self.machine)
         self.consumed = 0
         self.idle_since = 0.0
 
@@ -51,15 +59,18 @@
           OSError: The connection failed.
           h11.RemoteProtocolError: The answer is malformed or ended early.
         """
-        while (event := self.machine.next_event()) is h11.NEED_DATA:
-            await self.receive()
+        while (event := self.body.next_event()) is h11.NEED_DATA:
+            self.body.receive_head(await self._read())
         return event
 
     async def receive(self) -> None:
-        """Reads once from the connection."""
+        """Reads once from the connection, while the body is read."""
+        self.body.receive(await self._read())
+
+    async def _read(self) -> bytes:
         data = await self.reader.read(_READ_BYTES)
         self.consumed += len(data)
-        self.machine.receive_data(data)
+        return data
 
     def clean(self) -> bool:
         """Whether the connection is open and holds no unread byte."""
@@ -67,7 +78,7 @@
             not self.reader.at_eof()
             and self.reader.exception() is None
             and self.reader.received == self.consumed
-            and not self.machine.trailing_data[0]
+            and not self.body.unread
             and not self.writer.is_closing()
         )
 
@@ -109,7 +120,7 @@
         detail = "the answer was given up"
         try:
             while (connection := self._connection) is not None:
-                data, end = _take_body(connection.machine)
+                data, end = connection.body.take()
                 if data:
                     yield data
                 if isinstance(end, h11.EndOfMessage):
@@ -161,19 +172,6 @@
             self._pool.discard(connection)
 
 
-def _take_body(machine: h11.Connection) -> tuple[bytes, object]:
-    """Returns the body bytes received so far, and the event after them."""
-    parts: list[bytes] = []
-    end: object
-    try:
-        while isinstance(end := machine.next_event(), h11.Data):
-            parts.append(end.data)
-    except h11.RemoteProtocolError as error:
-        end = error
-    # h11 gives bytearrays; `bytes` and `join` each copy once.
-    return bytes(parts[0]) if len(parts) == 1 else b"".join(parts), end
-
-
 class Pool:
     """Connections to one `host:port`.
 
