Frame the chunks of a streamed answer without h11

h11 spent four function calls and a state change on each token's chunk. The first write still goes through h11; when h11 framed it as a chunk, the further ones are framed the same way directly. h11 keeps no state for sent chunks, so it still ends the body and refuses a write after the end.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -82,11 +82,14 @@
     Writes after the caller left are dropped; `disconnected` is set then.
     """
 
-    __slots__ = ("_connection", "_has_body", "disconnected", "finished")
+    __slots__ = ("_chunked", "_connection", "_has_body", "disconnected",
+                 "finished")  # fmt: skip
 
     def __init__(self, connection: "Connection", has_body: bool) -> None:
         self._connection = connection
         self._has_body = has_body
+        # Whether h11 framed the first write as a chunk.
+        self._chunked = False
         self.disconnected = asyncio.Event()
         self.finished = False
 
@@ -112,9 +115,15 @@
 
     async def write(self, data: bytes) -> None:
         """Sends body bytes; waits while the caller reads too slowly."""
-        if data and self._has_body:
-            self._connection.send(h11.Data(data=data))
-            await self._connection.flush()
+        if not data or not self._has_body:
+            return
+        if self._chunked and not (self.finished or self.disconnected.is_set()):
+            # h11 keeps no state for chunks that it sends, and takes longer.
+            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            parts = self._connection.send(h11.Data(data=data))
+            self._chunked = parts == [b"%x\r\n" % len(data), data, b"\r\n"]
+        await self._connection.flush()
 
     async def finish(self) -> None:
         """Ends the body."""
@@ -180,13 +189,17 @@
         peer = writer.get_extra_info("peername")
         self._client = f"{peer[0]}:{peer[1]}" if peer else "unknown"
 
-    def send(self, event: h11.Event) -> None:
-        """Passes one event to the transport."""
+    def send(self, event: h11.Event) -> list[bytes]:
+        """Passes one event to the transport; returns what h11 made of it."""
         if self.responder and self.responder.disconnected.is_set():
-            return
-        parts = self.machine.send_with_data_passthrough(event)
-        if parts:
-            self._writer.write(parts[0] if len(parts) == 1 else b"".join(parts))
+            return []
+        parts = self.machine.send_with_data_passthrough(event) or []
+        self._writer.write(b"".join(parts))
+        return parts
+
+    def write(self, data: bytes) -> None:
+        """Passes framed body bytes to the transport."""
+        self._writer.write(data)
 
     async def flush(self) -> None:
         """Waits until the transport accepts more; cuts a stalled caller."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import h11
 import pytest
 
 from tests import builders_io as build
@@ -212,3 +213,32 @@
         assert await answer.read(10) == body
     assert pool.connects == 1
     assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    ("version", "headers", "body"),
+    [
+        ("1.1", [], b"1\r\na\r\n2\r\nbc\r\n1\r\nd\r\n0\r\n\r\n"),
+        ("1.1", [("content-length", "4")], b"abcd"),
+        ("1.0", [], b"abcd"),
+    ],
+)
+async def test_each_write_has_the_framing_of_the_first(version, headers, body):
+    """R3: chunks framed without h11 must not reach an unchunked answer."""
+    refused = []
+
+    async def handler(request, responder):
+        await responder.start(200, headers)
+        for data in (b"a", b"bc", b"d"):
+            await responder.write(data)
+        await responder.finish()
+        try:
+            await responder.write(b"late")
+        except h11.LocalProtocolError as error:
+            refused.append(error)
+
+    server = await build.server(handler)
+    request = f"GET / HTTP/{version}\r\nhost: h\r\nconnection: close\r\n\r\n"
+    answer = await build.exchange(server.port, request.encode())
+    assert answer.partition(b"\r\n\r\n")[2] == body
+    assert len(refused) == 1
