--- a/carobsail/enginememory.py
+++ b/carobsail/enginememory.py
@@ -203,7 +203,6 @@
         self._metrics = metrics
         self._log = log
         self._target = target
-        self._in_use = in_use
         self._client = client
         self._grants = holder
         self._runner = runner
@@ -241,8 +240,6 @@
         others = (m for m in self._resident() if m != model)
         if any(_name_of(other) == name for other in others):
             return True  # Another version of it is resident here.
-        if not self._in_use(name):
-            return True
         return self._directory.has_other_copy(name, self._target.name)
 
     def _drained(self, model: str) -> bool:
--- a/carobsail/entryparts.py
+++ b/carobsail/entryparts.py
@@ -194,13 +194,6 @@
             shared,
         )
 
-    def _in_use(self, model: str) -> bool:
-        """Tells whether a client account uses a model; True if unknown."""
-        if not self.current.revision:
-            return True
-        policies = self.current.policies.values()
-        return any(model in policy.models for policy in policies)
-
     def _new_engine(
         self, target: inventory.Target, runner: targetrunner.TargetRunner
     ) -> ownedtargets.OwnedEngine:
