Recover the lost models that fit when not all do

Cause: when the engines left could not hold all models of a data centre, the round was refused and no lost model came back, although some fitted. Change: the busiest half, quarter and so on of the lost models is placed; the refusal stays visible. Copies of a model are counted in data centres, as the placement keeps them; a rejected remote request says why. Measured: tests/test_planner.py, the new case fails without the change (2 models on the engine left) and passes with it (3, all that fit).

--- a/carobsail/entrylinks.py
+++ b/carobsail/entrylinks.py
@@ -29,6 +29,13 @@
 MAX_SEEN = 16_384
 
 
+_UNSENT_DETAILS = {
+    errors.Reason.CONNECT_FAILED: "no link to the owner",
+    errors.Reason.OVERLOADED: "the link to the owner is full",
+    errors.Reason.NO_TARGET: "no target of this data centre serves it now",
+}
+
+
 class _LinkSink(attempts.Sink):
     """Passes an answer to the instance that sent the attempt."""
 
@@ -136,9 +143,7 @@
             reason,
             errors.Step.FORWARD,
             place,
-            detail="no link to the owner"
-            if reason is errors.Reason.CONNECT_FAILED
-            else "the link to the owner is full",
+            detail=_UNSENT_DETAILS[reason],
         )
 
     def _count_remote(self, link: links.Link, size: int) -> None:
--- a/carobsail/planner.py
+++ b/carobsail/planner.py
@@ -166,27 +166,67 @@
             and average.tokens_per_s >= VISITING_TOKENS_PER_S
         ]
         visiting.sort(key=lambda m: -averages[m].tokens_per_s)
-        while True:
-            found = placement.plan(
-                local,
-                residency,
-                averages,
-                at_home | set(visiting),
-                self._weights,
-                self._placement,
-                now,
-                self._policy,
-            )
-            if isinstance(found, planning.Placement):
-                self._placement = found
-                self.moves = found.moves
-                self.refusal = None
-                return
-            if not visiting:
-                # The last plan that fits stays in force.
-                self.refusal = found
-                return
+        inputs = (local, residency, averages)
+        refused = self._place(*inputs, at_home | set(visiting), now)
+        while refused and visiting:
             visiting = visiting[: len(visiting) // 2]
+            refused = self._place(*inputs, at_home | set(visiting), now)
+        self.refusal = refused
+        if refused:
+            self._place_some(*inputs, at_home, now)
+
+    def _place(
+        self,
+        local: inventory.Inventory,
+        residency: Mapping[str, Mapping[str, int]],
+        averages: Mapping[str, demand.Demand],
+        models: set[str],
+        now: float,
+    ) -> errors.Failure | None:
+        """Adopts a placement of the models, or returns why there is none."""
+        found = placement.plan(
+            local,
+            residency,
+            averages,
+            models,
+            self._weights,
+            self._placement,
+            now,
+            self._policy,
+        )
+        if isinstance(found, errors.Failure):
+            return found
+        self._placement = found
+        self.moves = found.moves
+        return None
+
+    def _place_some(
+        self,
+        local: inventory.Inventory,
+        residency: Mapping[str, Mapping[str, int]],
+        averages: Mapping[str, demand.Demand],
+        models: set[str],
+        now: float,
+    ) -> None:
+        """Places what fits when not all lost models do, the busiest first.
+
+        Without it, one model too many would keep all lost ones away. The
+        last plan that fits stays in force if nothing can be added.
+        """
+        resident = {model for held in residency.values() for model in held}
+        kept = models & resident
+        lost = sorted(
+            models - kept,
+            key=lambda m: (
+                -averages.get(m, planning.NO_DEMAND).tokens_per_s,
+                m,
+            ),
+        )
+        while lost:
+            lost = lost[: len(lost) // 2]
+            if self._place(local, residency, averages, kept | set(lost), now):
+                continue
+            return
 
     def _observe(
         self, reported: Mapping[str, tuple[float, float]], now: float
--- a/carobsail/policies.py
+++ b/carobsail/policies.py
@@ -50,7 +50,8 @@
       limits: Rate and concurrency limits.
       priority: Engine priority; lower is more urgent.
       key_hashes: SHA-256 hashes (hexadecimal) of its access keys.
-      copies: Copies of its models that are kept where memory allows.
+      copies: Data centres that keep a copy of each of its models, where
+        memory allows.
     """
 
     account: str
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -176,3 +176,26 @@
         build_policies(copies=2), start=planner.HOLD_BACK_S + 50.0, rounds=100
     )
     assert centre.models() & second
+
+
+def test_what_fits_is_recovered_when_not_all_does():
+    """R2: one model too many must not keep all lost models away."""
+    models = [
+        inventory.Model(f"m{number}", "scrivano", 20_000) for number in range(4)
+    ]
+    pool = [t for t in LISTED.targets if t.name.startswith("scrivano")]
+    engines = [t for t in pool if t.data_centre == "sondrio-a"]
+    assert len(engines) == 2  # With room for three of the models each.
+    listed = inventory.Inventory(
+        1, {"sondrio-a": "r"}, [], engines, models, [], LISTED.weight_store
+    )
+    centre = Centre("sondrio-a", listed)
+    policies = build_policies([model.name for model in models])
+    centre.run(policies)
+    assert len(centre.models()) == 4
+    dead, kept = sorted(centre.resident, key=lambda n: -len(centre.resident[n]))
+    centre.healthy[dead] = False
+    centre.resident[dead] = []
+    centre.run(policies, start=100.0, rounds=300)
+    assert centre.planner.refusal is not None
+    assert len(centre.resident[kept]) == 3
