--- a/carobsail/term.py
+++ b/carobsail/term.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from carobsail import (
+    configurationwatch,
     errors,
     inventory,
     keyvalue,
@@ -26,9 +27,6 @@
 OWNERSHIP_INTERVAL_S = 0.25
 FLUSH_INTERVAL_S = relay.MESSAGE_INTERVAL_S
 PUBLISH_INTERVAL_S = 1.0
-SHARE_INTERVAL_S = 2.0
-WATCHED_PREFIX = "/carobsail/"
-RETRY_S = 0.5
 MAX_RETRY_S = 5.0
 
 InventorySource = Callable[[], Awaitable[bytes | errors.Failure]]
@@ -200,40 +198,15 @@
                 link.offer(message)
 
     async def _follow_configuration(self) -> None:
-        retry_s = RETRY_S
-        while True:
-            failure = await self._watch()
-            if failure is None:
-                retry_s = RETRY_S
-            await asyncio.sleep(retry_s * self._context.rng.uniform(0.5, 1.0))
-            retry_s = min(2 * retry_s, MAX_RETRY_S)
-
-    async def _watch(self) -> errors.Failure | None:
-        """Reads the configuration and watches it; None if the watch ran."""
-        service = self._context.key_value
-        result = await service.range(relay.PREFIX)
-        if isinstance(result, errors.Failure):
-            return result
-        documents = {v.key: v.value for v in result.values}
-        self.relay.load(result.revision, documents)
-        self._apply_own()
-        centres = self.inventory.regions if self.inventory else {}
-        changed = await self._residency.load(centres)
-        if isinstance(changed, errors.Failure):
-            return changed
-        for message in changed:
-            self._broadcast(message)
-        watch = service.watch(WATCHED_PREFIX, result.revision + 1)
-        async for events in watch:
-            if isinstance(events, errors.Failure):
-                break
-            self.relay.record(
-                e for e in events if e.key.startswith(relay.PREFIX)
-            )
-            self._apply_own()
-            for message in self._residency.record(events):
-                self._broadcast(message)
-        return None
+        await configurationwatch.ConfigurationWatch(
+            self._context.key_value,
+            self.relay,
+            self._residency,
+            self._context.rng,
+            lambda: self.inventory.regions if self.inventory else (),
+            self._apply_own,
+            self._broadcast,
+        ).run()
 
     def _apply_own(self) -> None:
         state = self._context.state
@@ -309,17 +282,11 @@
             self._context.key_value,
         )
         placing.use_share(client.book)
-        renewed_at = float("-inf")
-        while True:
-            wanted, in_flight = placing.loads_wanted, placing.loads_in_flight
-            held = client.book.share(self._now()).loads_at_once
-            due = self._now() - renewed_at >= weightstore.RENEWAL_INTERVAL_S
-            # While something loads, others wait for a fair part of the rate.
-            active = bool(wanted or in_flight)
-            if self._may_order() and (active or (held and due)):
-                renewed_at = self._now()
-                await client.renew(wanted, in_flight)
-            await asyncio.sleep(SHARE_INTERVAL_S)
+        await weightstore.keep_share(
+            client,
+            lambda: (placing.loads_wanted, placing.loads_in_flight),
+            self._may_order,
+        )
 
     async def _assign(self) -> None:
         retry_s = OWNERSHIP_INTERVAL_S
--- a/carobsail/weightstore.py
+++ b/carobsail/weightstore.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,7 @@
 SHARES_KEY = "/carobsail/store-shares"
 VALIDITY_S = 30.0
 RENEWAL_INTERVAL_S = 10.0
+CHECK_INTERVAL_S = 2.0
 REUSE_MARGIN_S = 5.0  # Covers clock drift and an order just being sent.
 RECOVERY_PRIORITY_S = 5.0
 MOST_ATTEMPTS = 5
@@ -188,6 +190,32 @@
         return 0, {}
 
 
+async def keep_share(
+    client: ShareClient,
+    loads: Callable[[], tuple[int, int]],
+    may_order: Callable[[], bool],
+) -> None:
+    """Renews a share while it is used, until cancelled.
+
+    Args:
+      client: The share of the data centre.
+      loads: Returns the loads wanted and those in flight.
+      may_order: Whether this process may act for its data centre.
+    """
+    loop = asyncio.get_running_loop()
+    renewed_at = float("-inf")
+    while True:
+        wanted, in_flight = loads()
+        held = client.book.share(loop.time()).loads_at_once
+        due = loop.time() - renewed_at >= RENEWAL_INTERVAL_S
+        # While something loads, others wait for a fair part of the rate.
+        active = bool(wanted or in_flight)
+        if may_order() and (active or (held and due)):
+            renewed_at = loop.time()
+            await client.renew(wanted, in_flight)
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
+
 class LoadPermits:
     """Permits for model loads within the share, recovery loads first."""
 
