--- a/bench/all.py
+++ b/bench/all.py
@@ -126,8 +126,8 @@
         lambda: {"chunk": links.run(SEED)}, {"messages": links.MESSAGES}
     ),
     "relay": Part(
-        lambda: {"events": relay.run()},
-        {"streams": relay.STREAMS, "events": relay.EVENTS},
+        lambda: {"events": list(relay.run())},
+        {"streams": (*relay.STREAMS, relay.HALF_STREAMS)},
     ),
     "routing": Part(_routing, {"duration_s": workload.DURATION_S}, (SEED,)),
     "placement": Part(
--- a/bench/checks.py
+++ b/bench/checks.py
@@ -22,6 +22,10 @@
 INVENTORY_CHANGES_PER_DAY = 2720
 IN_FORCE_S = 9.0
 FIRST_TOKEN_MS = 630.0
+# The goal of 25,000 events/s on a core; a node has 10,303 events/s.
+RELAY_PERCENT = 41.2
+# 12,800 events/s; the row that the page holds against the goal.
+RELAY_STREAMS = 384
 
 Results = dict[str, Any]
 
@@ -78,10 +82,12 @@
 
 
 def relay_percent(results: Results) -> float:
-    """Returns the share of a core that relays a node's token events."""
-    event_us = find(results, "relay/events", streams=16)["us_per_event"]
-    (chunk,) = results["links"]["rows"]["chunk"]
-    return float((event_us + chunk["cpu_us"]) * TOKENS_PER_S / NODES / 1e4)
+    """Returns the share of a core that relays a node's token events.
+
+    Each event passes an owner and an entry instance, and each node is both.
+    """
+    row = find(results, "relay/events", streams=RELAY_STREAMS)
+    return float(row["both_us"] * TOKENS_PER_S / NODES / 1e4)
 
 
 def routing_percent(results: Results) -> float:
@@ -214,8 +220,8 @@
           lambda r: _started(r, "control"), MEMORY_MB, "processes",
           "one program for each instance: the interpreter and the libraries"
           " alone are most of it"),
-    Check("entry instance", "token events, HTTP relay and link only",
-          "% of a core", relay_percent, 100.0, "relay, links",
+    Check("entry instance", "token events, owner and entry instance",
+          "% of a core", relay_percent, RELAY_PERCENT, "relay",
           "a cheaper response path than h11 for each event, events merged"
           " when a node is busy, or two processes"),
     Check("entry instance", "routing of the node's requests, processor",
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -20,12 +20,13 @@
 from collections.abc import Iterator
 from typing import Any
 
+from bench import checks
 from bench import relayparts as parts
 from carobsail import entry, keyvalue
 
 STREAMS = (1, 4, 16, 64, 256)
 # 12,800 events/s, half of the goal of 25,000 on one core.
-HALF_STREAMS = 384
+HALF_STREAMS = checks.RELAY_STREAMS
 ENGINES = 64
 WARM_S = 0.5
 WINDOW_S = 1.5
@@ -38,7 +39,13 @@
 def _settings(name: str, ports: list[int]) -> entry.EntrySettings:
     callers, peer, operators = (f"{parts.HOST}:{port}" for port in ports)
     return entry.EntrySettings(
-        name, parts.DATA_CENTRE, callers, peer, operators, "", [parts.SECRET]
+        instance=name,
+        data_centre=parts.DATA_CENTRE,
+        caller_listen=callers,
+        peer_listen=peer,
+        operator_listen=operators,
+        key_value_url="http://127.0.0.1:1",
+        peer_secrets=[parts.SECRET],
     )
 
 
@@ -187,6 +194,8 @@
         "entry_busy": round(found["used_s"]["entry"] / found["window_s"], 2),
         "p50_ms": round(found["p50_ms"], 2),
         "p99_ms": round(found["p99_ms"], 2),
+        "added_p50_ms": "",
+        "added_p99_ms": "",
     }
 
 
