--- a/carobsail/forwarder.py
+++ b/carobsail/forwarder.py
@@ -22,9 +22,10 @@
     suspects,
     telemetry,
 )
+from carobsail.delivery import Delivery, Streamed, receive_answer
+
+__all__ = ["Delivery", "Forwarder", "Streamed", "Transport"]
 
-# A whole answer that is not streamed is held in memory up to this size.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Ownership moves within 6 s of an owner's death. When the leader ran on the
 # same instance, a successor takes up to 8 s, and then waits out the grants
 # of unknown age for 4 s.
@@ -32,18 +33,6 @@
 RESUME_INTERVAL_S = 0.5
 
 
-class Delivery(abc.ABC):
-    """Takes a streamed answer to the caller."""
-
-    @abc.abstractmethod
-    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Sends the head."""
-
-    @abc.abstractmethod
-    async def write(self, data: bytes) -> None:
-        """Sends body bytes."""
-
-
 class Transport(abc.ABC):
     """Sends attempts to the owners of targets."""
 
@@ -67,13 +56,6 @@
         """Gives up an attempt."""
 
 
-@dataclasses.dataclass(slots=True)
-class Streamed:
-    """The answer was delivered while it came in."""
-
-    status: int
-
-
 class Forwarder:
     """Runs the requests of one instance's callers.
 
@@ -325,7 +307,7 @@
             if unsent is not None:
                 finished = True
                 return unsent
-            result = await self._receive(subject, receiver, delivery)
+            result = await receive_answer(subject, receiver, delivery)
             # A caller that reads too slowly ends the attempt on this side
             # only; its owner must be told.
             finished = not isinstance(result, errors.Failure) or (
@@ -338,74 +320,6 @@
             if not finished:
                 self._transport.cancel(target, attempt)
 
-    async def _receive(
-        self,
-        subject: exchange.Exchange,
-        receiver: attempts.Receiver,
-        delivery: Delivery,
-    ) -> messages.StoredAnswer | Streamed | errors.Failure:
-        head = await receiver.head()
-        if isinstance(head, errors.Failure):
-            return head
-        if subject.request.stream and head.status == 200:
-            return await self._deliver(subject, receiver, head, delivery)
-        return await self._collect(subject, receiver, head)
-
-    async def _deliver(
-        self,
-        subject: exchange.Exchange,
-        receiver: attempts.Receiver,
-        head: messages.Head,
-        delivery: Delivery,
-    ) -> Streamed | errors.Failure:
-        """Passes a stream on while it comes in."""
-        while True:
-            part = await receiver.next()
-            if isinstance(part, errors.Failure):
-                return part
-            if isinstance(part, messages.End):
-                cut = subject.finish(part.length)
-                return cut or Streamed(head.status)
-            started = subject.delivered > 0
-            data = subject.receive(part, _now())
-            if data and not started:
-                await delivery.start(head.status, head.headers)
-            if data:
-                await delivery.write(data)
-
-    async def _collect(
-        self,
-        subject: exchange.Exchange,
-        receiver: attempts.Receiver,
-        head: messages.Head,
-    ) -> messages.StoredAnswer | errors.Failure:
-        """Holds an answer until it is whole, so that a cut one can rerun."""
-        parts: list[bytes] = []
-        length = 0
-        while True:
-            part = await receiver.next()
-            if isinstance(part, errors.Failure):
-                return part
-            if isinstance(part, messages.End):
-                break
-            parts.append(part)
-            subject.collect(part)
-            length += len(part)
-            if length > MAX_ANSWER_BYTES:
-                return errors.Failure(
-                    errors.Reason.BODY_TOO_LARGE,
-                    errors.Step.ANSWER,
-                    subject.target,
-                    errors.Outcome.FAILED,
-                    f"the answer exceeds {MAX_ANSWER_BYTES} bytes",
-                )
-        subject.first_byte_at = _now()
-        cut = subject.finish(part.length)
-        if cut is not None:
-            return cut
-        body = b"".join(parts)
-        return messages.StoredAnswer(head.status, head.headers, body)
-
     async def _resume(
         self, subject: exchange.Exchange, target: str, delivery: Delivery
     ) -> Streamed | errors.Failure:
