Share the life of a program between entry and control

Cause: both programs had the same code for settings, signals and exit. Change: program.py runs either one.

--- a/carobsail/control.py
+++ b/carobsail/control.py
@@ -1,10 +1,8 @@
 """The control process: candidate for leader of a data centre."""
 
 import asyncio
-import logging
 import os
 import random
-import sys
 import time
 from typing import Annotated
 
@@ -16,7 +14,6 @@
     configuration,
     controller,
     errors,
-    etcd,
     httpserver,
     inventorysource,
     keyvalue,
@@ -27,9 +24,9 @@
     planner,
     planning,
     policies,
+    program,
     programsettings,
     settings,
-    signals,
     telemetry,
 )
 from carobsail.controller import Controller
@@ -39,7 +36,6 @@
     "ControlSettings",
     "Controller",
     "main",
-    "serve",
     "start",
 ]
 
@@ -142,6 +138,11 @@
         self._operators = operators
         self._source = source
 
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when a duty ended by a fault."""
+        return self.controller.failed
+
     async def stop(self) -> None:
         """Hands the lease over and closes all ports."""
         await self.controller.stop()
@@ -233,38 +234,9 @@
     return ControlServers(process, peer_server, operators, source, metrics)
 
 
-async def serve(loaded: ControlSettings) -> int:
-    """Runs the process until a signal; a second one stops at once.
-
-    Args:
-      loaded: Settings of the process.
-
-    Returns:
-      The exit code: 0 after a planned stop, 1 after a fault.
-    """
-    service = etcd.EtcdGateway(
-        programsettings.service_address(loaded.key_value_url)
-    )
-    servers = await start(loaded, service)
-    failed = servers.controller.failed
-    log = logging.getLogger(telemetry.LOGGER_NAME)
-    telemetry.log(log, "started", instance=loaded.instance)
-    stop_signals = signals.StopSignals()
-    await stop_signals.wait(failed)
-    await stop_signals.stop(servers.stop, servers.kill, log)
-    service.close()
-    telemetry.log(log, "stopped", instance=loaded.instance)
-    return 1 if failed.is_set() else 0
-
-
 def run(path: str) -> None:
     """Runs the control process with the settings file at `path`."""
-    try:
-        loaded = settings.load(path, ControlSettings)
-    except settings.SettingsError as error:
-        raise SystemExit(str(error)) from error
-    telemetry.configure_logging(loaded.log_level, sys.stderr)
-    raise SystemExit(asyncio.run(serve(loaded)))
+    program.run(path, ControlSettings, start)
 
 
 def main() -> None:
--- a/carobsail/entry.py
+++ b/carobsail/entry.py
@@ -4,7 +4,6 @@
 import logging
 import os
 import random
-import sys
 import time
 from collections.abc import Callable
 from typing import Annotated
@@ -18,16 +17,15 @@
     entryinstance,
     entryparts,
     errors,
-    etcd,
     httpserver,
     keyvalue,
     messages,
     operatorport,
     peers,
+    program,
     programsettings,
     routing,
     settings,
-    signals,
     telemetry,
 )
 
@@ -156,6 +154,11 @@
         self.operators = operators
         self._peers = peer_server
 
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when a duty ended by a fault."""
+        return self.instance.failed
+
     async def stop(self) -> None:
         """Stops gracefully: cuts no request in flight."""
         await self.instance.leave()
@@ -224,36 +227,9 @@
     )
 
 
-async def serve(loaded: EntrySettings) -> int:
-    """Runs the process until a signal.
-
-    Returns:
-      The exit code: 0 after a planned stop, 1 after a fault.
-    """
-    service = etcd.EtcdGateway(
-        programsettings.service_address(loaded.key_value_url)
-    )
-    servers = await start(loaded, service)
-    failed = servers.instance.failed
-    log = logging.getLogger(telemetry.LOGGER_NAME)
-    telemetry.log(log, "started", instance=loaded.instance)
-    stop_signals = signals.StopSignals()
-    await stop_signals.wait(failed)
-    telemetry.log(log, "stopping", instance=loaded.instance)
-    await stop_signals.stop(servers.stop, servers.kill, log)
-    service.close()
-    telemetry.log(log, "stopped", instance=loaded.instance)
-    return 1 if failed.is_set() else 0
-
-
 def run(path: str) -> None:
     """Runs an entry instance with the settings file at `path`."""
-    try:
-        loaded = settings.load(path, EntrySettings)
-    except settings.SettingsError as error:
-        raise SystemExit(str(error)) from error
-    telemetry.configure_logging(loaded.log_level, sys.stderr)
-    raise SystemExit(asyncio.run(serve(loaded)))
+    program.run(path, EntrySettings, start)
 
 
 def main() -> None:
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -14,6 +14,7 @@
     httpserver,
     messages,
     peers,
+    program,
     settings,
     standin_keyvalue,
 )
@@ -80,7 +81,7 @@
         "127.0.0.1", 0, platform(entry_port), httpserver.Bounds(), "platform"
     )
     values = loaded(standin.address, inventory.port)
-    process = asyncio.create_task(control.serve(values))
+    process = asyncio.create_task(program.serve(values, control.start))
     async with asyncio.timeout(20):
         await granted.wait()
         now = asyncio.get_running_loop().time()
