Keep resident models while there is no client account

Cause: with an empty configuration no model counted as used, so resident ones were unloaded before the first accounts were applied; the README's first request, run by hand in a new environment, got no_target. Change: without any policy nothing is planned or unloaded; a constant that nothing used is gone. Measured: the new case of tests/test_planner.py fails without the change; the README's request is answered with it (shown there).

--- a/carobsail/entryparts.py
+++ b/carobsail/entryparts.py
@@ -217,9 +217,9 @@
 
     def _in_use(self, model: str) -> bool:
         """Tells whether a client account uses a model; True if unknown."""
-        if not self.current.revision:
-            return True
         policies = self.current.policies.values()
+        if not policies:
+            return True
         return any(model in policy.models for policy in policies)
 
     def _on_crash(self, target: str) -> None:
--- a/carobsail/estimation.py
+++ b/carobsail/estimation.py
@@ -14,7 +14,6 @@
 from carobsail import errors, inventory
 
 REPORT_MAX_AGE_S = 3.0  # Loads come once a second; three lost ones are silence.
-DRAIN_TRUST = 0.0
 UNKNOWN_WAIT_S = 1.0  # Assumed wait at a target without a usable report.
 SPEED_WEIGHT = 0.2
 SPEED_MIN = 0.25  # One odd observation must not make a target irresistible,
--- a/carobsail/planner.py
+++ b/carobsail/planner.py
@@ -136,6 +136,9 @@
           situation: What is known of the data centre.
           now: Loop time in seconds.
         """
+        if not situation.policies:
+            # Without any client account nothing is known to be unused.
+            return []
         if now - self._planned_at >= ROUND_INTERVAL_S:
             self._planned_at = now
             self._run_round(situation, now)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -199,3 +199,12 @@
     centre.run(policies, start=100.0, rounds=300)
     assert centre.planner.refusal is not None
     assert len(centre.resident[kept]) == 3
+
+
+def test_models_stay_before_the_first_client_account():
+    """R2: an empty configuration must not unload what accounts will use."""
+    centre = Centre("sondrio-a")
+    engine = next(iter(centre.resident))
+    centre.resident[engine] = ["scrivano-1"]
+    centre.run([])
+    assert centre.resident[engine] == ["scrivano-1"]
