Give orders to engines from one leased holder at a time

Change: one instance holds a leased key, reads engines, plans copies by smoothed demand and loads adapters on need; instances exchange summaries and boards as datagrams.

--- /dev/null
+++ b/carobsail/coordination.py
@@ -0,0 +1,467 @@
+"""How the instances act together: the order lease, summaries and boards.
+
+All of it is an aid: an instance that hears from no other one serves on with
+what it knows itself.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from carobsail import (
+    engineorders,
+    errors,
+    keyvalue,
+    ordergiver,
+    orderlease,
+    serving,
+    summaries,
+    targetbook,
+    telemetry,
+)
+
+# Accuracy of the load that instances see of each other, against the bytes
+# between regions, which are billed.
+SUMMARY_S = 0.5
+# A need is repeated, because a datagram may be lost.
+NEED_REPEAT_S = 0.15
+# A new need is sent with others that arise within this time.
+NEED_DELAY_S = 0.01
+# Load that the order giver told counts for this long.
+LOAD_TOLD_VALID_S = 2.0
+# Engines whose holdings are told again with each board, in turn.
+REPEATED_HOLDINGS = 4
+# Rows of one datagram, which keeps it below 1,400 bytes.
+MAX_ROWS = 40
+# Spreads the instances that try to take the order lease.
+TAKE_SPREAD_S = 0.4
+RETRY_S = 0.3
+
+_log = logging.getLogger(__name__)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Datagrams between instances."""
+
+    def __init__(
+        self, on_message: Callable[[bytes, tuple[str, int]], None]
+    ) -> None:
+        self._on_message = on_message
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See base class."""
+        # asyncio's own class does not inherit from the abstract one.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """See base class."""
+        self._on_message(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """See base class; an unreachable peer is seen by its silence."""
+        telemetry.log(
+            _log, "datagram_refused", level=logging.DEBUG, detail=str(exc)
+        )
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends one datagram, which may be lost."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+class Coordination:
+    """The part of one instance in what all do together.
+
+    Attributes:
+      lease: The order lease as this instance knows it.
+    """
+
+    def __init__(
+        self,
+        me: orderlease.Holder,
+        port: int,
+        turn_s: float,
+        load_window_s: float,
+        store: keyvalue.KeyValueClient,
+        book: targetbook.TargetBook,
+        served: serving.Serving,
+        orders: engineorders.OrderPort,
+        boot_clock: Callable[[], float],
+        metrics: telemetry.Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Creates the part without its socket.
+
+        Args:
+          me: This instance.
+          port: Port of the datagrams, the same on all instances.
+          turn_s: Seconds between the orders of two instances.
+          load_window_s: Window in which loads from the store are counted.
+          store: Client of the store.
+          book: Targets.
+          served: Request path of this instance.
+          orders: Sends orders to engines.
+          boot_clock: Clock that includes the time of a suspended machine.
+          metrics: Counters.
+          rng: Source of jitter.
+        """
+        self.lease = orderlease.OrderLease(me, turn_s)
+        self._me = me
+        self._port = port
+        self._store = store
+        self._book = book
+        self._serving = served
+        self._boot_clock = boot_clock
+        self._rng = rng
+        self._giver = ordergiver.OrderGiver(
+            self.lease,
+            book,
+            orders,
+            boot_clock,
+            self._holdings_changed,
+            load_window_s,
+            metrics,
+        )
+        self._datagrams: Datagrams | None = None
+        self._incarnation = rng.getrandbits(48)
+        self._number = 0
+        self._reported: dict[str, summaries.EngineLoad] = {}
+        self._peers: dict[str, tuple[str, float]] = {}
+        self._board_fence = 0
+        self._board_number = 0
+        self._told_loads: dict[str, float] = {}
+        self._listed_loads: set[str] = set()
+        self._turn = 0
+        self._need_timer: asyncio.TimerHandle | None = None
+        self._lease_changed = asyncio.Event()
+        self.stopping = False
+
+    async def open(self) -> None:
+        """Opens the socket."""
+        loop = asyncio.get_running_loop()
+        _, self._datagrams = await loop.create_datagram_endpoint(
+            lambda: Datagrams(self._received),
+            local_addr=(self._me.address, self._port),
+        )
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._datagrams is not None:
+            self._datagrams.close()
+
+    def observe(self, event: keyvalue.WatchEvent) -> None:
+        """Takes over a change of the order lease's key."""
+        if self.lease.observe(event):
+            holder = self.lease.holder
+            telemetry.log(
+                _log,
+                "order_giver_changed",
+                holder=holder.instance if holder else "",
+                revision=event.mod_revision,
+            )
+        self._lease_changed.set()
+
+    # The order lease.
+
+    async def keep_lease(self) -> None:
+        """Takes and renews the order lease until cancelled."""
+        while True:
+            self._lease_changed.clear()
+            if self.lease.fence:
+                await self._renew()
+            elif self.lease.may_take() and not self.stopping:
+                await self._take()
+            try:
+                async with asyncio.timeout(
+                    orderlease.RENEWAL_S if self.lease.fence else 5.0
+                ):
+                    await self._lease_changed.wait()
+            except TimeoutError:
+                pass  # The time of the next renewal or attempt has come.
+
+    async def _take(self) -> None:
+        if self.lease.holder is None:
+            await asyncio.sleep(self._rng.uniform(0.0, TAKE_SPREAD_S))
+            if not self.lease.may_take():
+                return
+        sent_at = self._boot_clock()
+        lease = await self._store.grant_lease(orderlease.LEASE_S)
+        if isinstance(lease, errors.Failure):
+            await asyncio.sleep(RETRY_S)
+            self._lease_changed.set()
+            return
+        if not self.lease.may_take():
+            return
+        again = self.lease.holder is not None and self.lease.holder.acting
+        value = msgspec.structs.replace(self._me, acting=again)
+        result = await self._store.transact(
+            [
+                keyvalue.Compare(
+                    orderlease.ORDER_GIVER_KEY, self.lease.key_revision
+                )
+            ],
+            [
+                keyvalue.Put(
+                    orderlease.ORDER_GIVER_KEY,
+                    msgspec.json.encode(value),
+                    lease,
+                )
+            ],
+        )
+        if isinstance(result, errors.Failure) or not result.succeeded:
+            # If it took effect all the same, the watch shows the key.
+            await asyncio.sleep(RETRY_S)
+            return
+        self.lease.taken(lease, result.revision, sent_at)
+        telemetry.log(
+            _log,
+            "order_lease_taken",
+            fence=result.revision,
+            first_order_in_s=self.lease.first_order_at - self._boot_clock(),
+        )
+
+    async def _renew(self) -> None:
+        sent_at = self._boot_clock()
+        if sent_at >= self.lease.valid_until:
+            telemetry.log(_log, "order_lease_lost", fence=self.lease.fence)
+            self.lease.lose()
+            return
+        ttl_s = await self._store.keep_lease(self.lease.lease)
+        if isinstance(ttl_s, errors.Failure):
+            telemetry.log(
+                _log,
+                "order_lease_not_renewed",
+                reason=str(ttl_s.reason),
+                left_s=self.lease.valid_until - self._boot_clock(),
+            )
+            await asyncio.sleep(RETRY_S)
+            self._lease_changed.set()
+            return
+        self.lease.renewed(ttl_s, sent_at)
+        if self.lease.must_announce(self._boot_clock()):
+            await self._announce()
+
+    async def _announce(self) -> None:
+        """Lets the key say that orders follow, before the first one."""
+        value = msgspec.structs.replace(self._me, acting=True)
+        result = await self._store.transact(
+            [
+                keyvalue.Compare(
+                    orderlease.ORDER_GIVER_KEY, self.lease.key_revision
+                )
+            ],
+            [
+                keyvalue.Put(
+                    orderlease.ORDER_GIVER_KEY,
+                    msgspec.json.encode(value),
+                    self.lease.lease,
+                )
+            ],
+        )
+        if not isinstance(result, errors.Failure) and result.succeeded:
+            self.lease.announced(result.revision)
+
+    async def hand_over(self) -> None:
+        """Gives the order lease back before the instance stops."""
+        self.stopping = True
+        lease = self.lease.lease
+        if self.lease.fence:
+            self.lease.lose()
+            await self._store.revoke_lease(lease)
+
+    # Orders and boards.
+
+    async def run_rounds(self) -> None:
+        """Plans and orders while the lease is held, until cancelled."""
+        while True:
+            await asyncio.sleep(ordergiver.ROUND_S)
+            if self._serving.table is not None:
+                self._giver.round(self._serving.table)
+
+    async def run_summaries(self) -> None:
+        """Sends summaries and boards until cancelled."""
+        while True:
+            await asyncio.sleep(SUMMARY_S * self._rng.uniform(0.9, 1.1))
+            self._send_summary()
+            self._expire_loads()
+            if self.lease.fence:
+                self._send_board()
+
+    def need(self, service: str, model: str, adapter: str) -> None:
+        """Tells the order giver soon that requests wait."""
+        del service, model, adapter  # The summary holds all that waits.
+        if self._need_timer is None:
+            loop = asyncio.get_running_loop()
+            self._need_timer = loop.call_later(NEED_DELAY_S, self._send_need)
+
+    def _send_need(self) -> None:
+        self._need_timer = None
+        self._send_summary()
+        if self._serving.waiting:
+            loop = asyncio.get_running_loop()
+            self._need_timer = loop.call_later(NEED_REPEAT_S, self._send_need)
+
+    def _send_summary(self) -> None:
+        self._number += 1
+        loads = [
+            summaries.EngineLoad(
+                t.entry.identity, t.in_flight, int(t.prompt_tokens)
+            )
+            for t in self._book.all()
+            if t.in_flight
+        ]
+        self._reported = {load.target: load for load in loads}
+        summary = summaries.Summary(
+            instance=self._me.instance,
+            incarnation=self._incarnation,
+            number=self._number,
+            loads=loads,
+            demand=[
+                summaries.Demand(service, model, count)
+                for (service, model), count in self._serving.arrivals.items()
+            ],
+            needs=[
+                summaries.Need(*key, count)
+                for key, count in self._serving.waiting.items()
+            ],
+            uses=[
+                summaries.AdapterUse(*key) for key in self._serving.take_uses()
+            ],
+        )
+        holder = self.lease.holder
+        if self.lease.fence:
+            self._giver.take(summary, asyncio.get_running_loop().time())
+        elif holder is not None and self._datagrams is not None:
+            self._datagrams.send(
+                summaries.encode(summary), (holder.address, self._port)
+            )
+
+    def _received(self, data: bytes, address: tuple[str, int]) -> None:
+        message = summaries.decode(data)
+        now = asyncio.get_running_loop().time()
+        if isinstance(message, summaries.Summary):
+            if self.lease.fence:
+                self._peers[message.instance] = (address[0], now)
+                self._giver.take(message, now)
+        elif isinstance(message, summaries.Board):
+            self._take_board(message, now)
+        else:
+            telemetry.log(
+                _log,
+                "datagram_malformed",
+                level=logging.WARNING,
+                peer=address[0],
+            )
+
+    def _take_board(self, board: summaries.Board, now: float) -> None:
+        if board.fence < self._board_fence:
+            return
+        if board.fence > self._board_fence:
+            self._board_fence, self._board_number = board.fence, 0
+        self._take_holdings(board.holdings, now)
+        if board.number <= self._board_number:
+            return
+        self._board_number = board.number
+        self._serving.members = board.members
+        self._serving.coming = set(map(tuple, board.coming))
+        for load in board.loads:
+            target = self._book.get(load.target)
+            if target is None:
+                continue
+            own = self._reported.get(load.target)
+            target.others_in_flight = max(
+                0, load.in_flight - (own.in_flight if own else 0)
+            )
+            target.others_prompt_tokens = max(
+                0, load.prompt_tokens - (own.prompt_tokens if own else 0)
+            )
+            self._told_loads[load.target] = now
+
+    def _take_holdings(
+        self, holdings: list[summaries.Holding], now: float
+    ) -> None:
+        changed = False
+        for holding in holdings:
+            held = {m: frozenset(a) for m, a in holding.models.items()}
+            changed |= self._book.tell(holding.target, held, now)
+        if changed:
+            self._serving.changed()
+
+    def _expire_loads(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for name, at in list(self._told_loads.items()):
+            if now - at > LOAD_TOLD_VALID_S:
+                del self._told_loads[name]
+                target = self._book.get(name)
+                if target is not None:
+                    target.others_in_flight = 0
+                    target.others_prompt_tokens = 0
+
+    def _holdings_changed(self, holdings: list[summaries.Holding]) -> None:
+        """Tells all instances at once."""
+        now = asyncio.get_running_loop().time()
+        self._take_holdings(holdings, now)
+        self._broadcast(holdings, [], numbered=False)
+
+    def _send_board(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for name, (_, at) in list(self._peers.items()):
+            if now - at > ordergiver.SUMMARY_VALID_S:
+                del self._peers[name]
+        known = self._giver.holdings()
+        start = self._turn % max(1, len(known))
+        repeated = (known + known)[start : start + REPEATED_HOLDINGS]
+        self._turn += REPEATED_HOLDINGS
+        totals = self._giver.demand.loads(now)
+        # A target that became idle is listed once more, with zeros.
+        idle = self._listed_loads - totals.keys()
+        self._listed_loads = set(totals)
+        loads = [
+            *totals.values(),
+            *(summaries.EngineLoad(name, 0, 0) for name in idle),
+        ]
+        own = self._board(repeated[: len(known)], loads, True)
+        self._take_board(own, now)
+        for first in range(0, max(1, len(loads)), MAX_ROWS):
+            rows = loads[first : first + MAX_ROWS]
+            self._broadcast(
+                repeated[: len(known)] if not first else [], rows, True
+            )
+
+    def _board(
+        self,
+        holdings: list[summaries.Holding],
+        loads: list[summaries.EngineLoad],
+        numbered: bool,
+    ) -> summaries.Board:
+        self._number += numbered
+        return summaries.Board(
+            fence=self.lease.fence,
+            number=self._number if numbered else 0,
+            holdings=holdings,
+            loads=loads,
+            coming=self._giver.coming(),
+            members=len(self._peers) + 1,
+        )
+
+    def _broadcast(
+        self,
+        holdings: list[summaries.Holding],
+        loads: list[summaries.EngineLoad],
+        numbered: bool,
+    ) -> None:
+        if self._datagrams is None:
+            return
+        data = summaries.encode(self._board(holdings, loads, numbered))
+        for address, _ in self._peers.values():
+            self._datagrams.send(data, (address, self._port))
--- /dev/null
+++ b/carobsail/ordergiver.py
@@ -0,0 +1,500 @@
+"""The term of an order giver: reads engines, plans, orders, tells the others.
+
+Runs on every instance and acts only while the instance holds the lease.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import math
+from collections.abc import Callable
+
+from carobsail import (
+    copyplan,
+    engineorders,
+    errors,
+    orderlease,
+    routetable,
+    summaries,
+    targetbook,
+    telemetry,
+)
+from carobsail.engineorders import EngineLedger, Order, Verb
+
+# Time constant of the smoothed demand; the users' demand moves in 4 to 6 s.
+DEMAND_SMOOTHING_S = 3.0
+# What an instance said counts for this long after its last summary.
+SUMMARY_VALID_S = 3.0
+# Time between two rounds of planning.
+ROUND_S = 0.1
+# A model that is to be unloaded gets no new requests for this long before, so
+# that instances have heard of it.
+UNLOAD_NOTICE_S = 0.15
+# Part of the weight store's rate that is used: loads that the holder before
+# began may fall into the same window.
+STORE_RATE_USED = 0.85
+# Largest number of adapter orders under way at all engines.
+MAX_ADAPTER_ORDERS = 64
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _Instance:
+    """What one instance said last."""
+
+    summary: summaries.Summary
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Demand:
+    per_s: float = 0.0
+    asked_at: float = float("-inf")
+    fresh: int = 0
+
+
+class DemandBook:
+    """Demand for models and load of targets, from all instances' summaries."""
+
+    __slots__ = ("_demand", "_instances", "_rated_at")
+
+    def __init__(self) -> None:
+        self._instances: dict[str, _Instance] = {}
+        self._demand: dict[tuple[str, str], _Demand] = {}
+        self._rated_at: float | None = None
+
+    def take(self, summary: summaries.Summary, now: float) -> None:
+        """Takes over a summary; an older one is ignored."""
+        known = self._instances.get(summary.instance)
+        same = (
+            known is not None
+            and known.summary.incarnation == summary.incarnation
+        )
+        if known is not None and same:
+            if summary.number <= known.summary.number:
+                return
+            before = {(d.service, d.model): d.arrivals
+                      for d in known.summary.demand}  # fmt: skip
+        else:
+            before = {}
+        for entry in summary.demand:
+            key = (entry.service, entry.model)
+            # What a new instance had received before is not recent demand.
+            fresh = entry.arrivals - before.get(key, 0) if same else 0
+            if fresh > 0:
+                demand = self._demand.setdefault(key, _Demand())
+                demand.fresh += fresh
+                demand.asked_at = now
+        self._instances[summary.instance] = _Instance(summary, now)
+
+    def rate(self, now: float) -> None:
+        """Smooths the demand that came since the last call."""
+        if self._rated_at is None:
+            self._rated_at = now
+            return
+        elapsed_s = now - self._rated_at
+        if elapsed_s <= 0.0:
+            return
+        self._rated_at = now
+        keep = math.exp(-elapsed_s / DEMAND_SMOOTHING_S)
+        for demand in self._demand.values():
+            demand.per_s *= keep
+            demand.per_s += (1.0 - keep) * demand.fresh / elapsed_s
+            demand.fresh = 0
+
+    def live(self, now: float) -> list[summaries.Summary]:
+        """Returns the summaries that still count."""
+        return [
+            i.summary
+            for i in self._instances.values()
+            if now - i.at < SUMMARY_VALID_S
+        ]
+
+    def needs(self, now: float) -> dict[tuple[str, str, str], int]:
+        """Returns the requests that wait, by service, model and adapter."""
+        found: dict[tuple[str, str, str], int] = {}
+        for summary in self.live(now):
+            for need in summary.needs:
+                key = (need.service, need.model, need.adapter)
+                found[key] = found.get(key, 0) + need.waiting
+        return found
+
+    def of_service(
+        self, service: str, now: float
+    ) -> dict[str, copyplan.ModelDemand]:
+        """Returns the demand for the models of a service."""
+        waiting: dict[str, int] = {}
+        for (name, model, _), count in self.needs(now).items():
+            if name == service:
+                waiting[model] = waiting.get(model, 0) + count
+        found = {
+            model: copyplan.ModelDemand(
+                demand.per_s, demand.asked_at, waiting.pop(model, 0)
+            )
+            for (name, model), demand in self._demand.items()
+            if name == service
+        }
+        for model, count in waiting.items():
+            found[model] = copyplan.ModelDemand(0.0, now, count)
+        return found
+
+    def loads(self, now: float) -> dict[str, summaries.EngineLoad]:
+        """Returns the requests under way at each target."""
+        totals: dict[str, summaries.EngineLoad] = {}
+        for summary in self.live(now):
+            for load in summary.loads:
+                known = totals.get(load.target)
+                totals[load.target] = summaries.EngineLoad(
+                    load.target,
+                    load.in_flight + (known.in_flight if known else 0),
+                    load.prompt_tokens + (known.prompt_tokens if known else 0),
+                )
+        return totals
+
+
+class OrderGiver:
+    """Plans and orders while this instance holds the lease.
+
+    Attributes:
+      demand: Demand and load of all instances.
+    """
+
+    def __init__(
+        self,
+        lease: orderlease.OrderLease,
+        book: targetbook.TargetBook,
+        port: engineorders.OrderPort,
+        boot_clock: Callable[[], float],
+        on_holdings: Callable[[list[summaries.Holding]], None],
+        load_window_s: float,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        """Creates an order giver without a term.
+
+        Args:
+          lease: The lease of this instance.
+          book: Targets.
+          port: Sends orders.
+          boot_clock: Clock that includes the time of a suspended machine.
+          on_holdings: Receives holdings that changed.
+          load_window_s: Window in which loads from the store are counted.
+          metrics: Counters.
+        """
+        self.demand = DemandBook()
+        self._lease = lease
+        self._book = book
+        self._port = port
+        self._boot_clock = boot_clock
+        self._on_holdings = on_holdings
+        self._load_window_s = load_window_s
+        self._metrics = metrics
+        self._ledgers: dict[str, EngineLedger] = {}
+        self._store_loads: list[float] = []
+        self._term = 0
+        self._pools: dict[str, dict[str, routetable.Model]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def take(self, summary: summaries.Summary, now: float) -> None:
+        """Takes over an instance's summary."""
+        self.demand.take(summary, now)
+        for use in summary.uses:
+            ledger = self._ledgers.get(use.target)
+            if ledger is not None:
+                ledger.used_at[use.model, use.adapter] = now
+
+    def holdings(self) -> list[summaries.Holding]:
+        """Returns what each known engine serves."""
+        return [
+            _holding(ledger)
+            for ledger in self._ledgers.values()
+            if ledger.known
+        ]
+
+    def coming(self) -> list[tuple[str, str]]:
+        """Returns the models that are being loaded or planned."""
+        found = []
+        for ledger in self._ledgers.values():
+            target = self._book.get(ledger.identity)
+            if target is None:
+                continue
+            names = [o.model for o in ledger.pending if o.verb is Verb.LOAD]
+            if ledger.loading:
+                names.append(ledger.loading)
+            found += [(target.entry.service, name) for name in names]
+        return found
+
+    def round(self, table: routetable.RouteTable) -> None:
+        """Does what is due now; starts calls and does not wait for them."""
+        now = asyncio.get_running_loop().time()
+        if not self._lease.fence:
+            self._end_term()
+            return
+        if self._term != self._lease.fence:
+            self._end_term()
+            self._term = self._lease.fence
+            # The holder before may have used the window up to now.
+            half = self._load_window_s / 2.0
+            self._store_loads = [now - half] * self._window_loads(table, 0.5)
+        self.demand.rate(now)
+        self._sync_ledgers(table)
+        if not self._lease.may_order(self._boot_clock()):
+            # Reading is allowed before the first order.
+            self._read_engines(now)
+            return
+        self._read_engines(now)
+        self._continue_orders(now)
+        for service in table.services.values():
+            if service.pool is not None:
+                self._order_adapters(service.name, service.pool, now)
+                self._plan_models(service.name, service.pool, now)
+
+    def _end_term(self) -> None:
+        if self._term:
+            telemetry.log(_log, "order_term_ended", fence=self._term)
+        self._term = 0
+        self._ledgers.clear()
+
+    def _window_loads(
+        self, table: routetable.RouteTable, part: float = 1.0
+    ) -> int:
+        rates = [s.pool.loads_per_s for s in table.services.values() if s.pool]
+        return int(sum(rates) * self._load_window_s * STORE_RATE_USED * part)
+
+    def _sync_ledgers(self, table: routetable.RouteTable) -> None:
+        """Follows the list of engines."""
+        present = {}
+        for target in self._book.all():
+            service = table.services.get(target.entry.service)
+            if service and service.pool and not target.entry.leaving:
+                present[target.entry.identity] = target
+        for identity in [i for i in self._ledgers if i not in present]:
+            del self._ledgers[identity]
+        for identity, target in present.items():
+            ledger = self._ledgers.get(identity)
+            if ledger is None or ledger.address != target.entry.address:
+                self._ledgers[identity] = EngineLedger(
+                    identity, target.entry.address
+                )
+
+    def _read_engines(self, now: float) -> None:
+        for ledger in self._ledgers.values():
+            overdue = (
+                bool(ledger.loading or ledger.unloading)
+                and now >= ledger.busy_until
+            )
+            stale = not ledger.known or overdue
+            if stale and not ledger.in_call and now >= ledger.retry_at:
+                self._start(ledger, self._read(ledger))
+
+    def _start(self, ledger: EngineLedger, call) -> None:  # type: ignore[no-untyped-def]
+        ledger.in_call = True
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: setattr(ledger, "in_call", False))
+
+    async def _read(self, ledger: EngineLedger) -> None:
+        report = await self._port.report(ledger.identity, ledger.address)
+        now = asyncio.get_running_loop().time()
+        ledger.retry_at = now + engineorders.UNCERTAIN_RETRY_S
+        if isinstance(report, errors.Failure):
+            telemetry.log(
+                _log,
+                "engine_not_read",
+                target=ledger.identity,
+                reason=str(report.reason),
+                detail=report.detail,
+            )
+            return
+        if report.orders < ledger.orders and ledger.known:
+            # A report may be some 100 ms old; the next one will show it.
+            return
+        if ledger.read(report):
+            self._publish(ledger)
+
+    def _publish(self, ledger: EngineLedger) -> None:
+        if ledger.known and self._lease.fence:
+            self._on_holdings([_holding(ledger)])
+
+    def _continue_orders(self, now: float) -> None:
+        for ledger in self._ledgers.values():
+            if ledger.settle(now):
+                self._publish(ledger)
+            if (
+                ledger.pending
+                and ledger.known
+                and not ledger.in_call
+                and not ledger.loading
+                and not ledger.unloading
+                and now >= ledger.retry_at
+            ):
+                self._start(ledger, self._order(ledger, ledger.pending[0]))
+
+    async def _order(self, ledger: EngineLedger, order: Order) -> None:
+        """Gives one order, if the right to do so still holds."""
+        loop = asyncio.get_running_loop()
+        if not self._lease.may_order(self._boot_clock()):
+            return
+        fence = self._lease.fence
+        verdict = await self._port.order(
+            ledger.identity,
+            ledger.address,
+            order,
+            ledger.orders,
+            self._lease.me.instance,
+            fence,
+        )
+        now = loop.time()
+        failed = isinstance(verdict, errors.Failure)
+        telemetry.log(
+            _log,
+            "order_given",
+            target=ledger.identity,
+            verb=str(order.verb),
+            model=order.model,
+            adapter=order.adapter,
+            orders_before=ledger.orders,
+            fence=fence,
+            verdict=str(verdict),
+        )
+        if failed or verdict in (
+            engineorders.Verdict.CONFLICT,
+            engineorders.Verdict.FENCED,
+        ):
+            self._metrics.count("orders_failed")
+            # The same order may be given again: its count lets only one act.
+            ledger.known = False
+            ledger.retry_at = now + engineorders.UNCERTAIN_RETRY_S / 2.0
+            return
+        assert isinstance(verdict, engineorders.Verdict)
+        self._metrics.count("orders_accepted")
+        if ledger.pending and ledger.pending[0] == order:
+            ledger.pending.pop(0)
+        ledger.accepted(order, verdict, now)
+        if not order.adapter:
+            ledger.busy_until = now + self._duration_s(ledger, order)
+        self._publish(ledger)
+
+    def _duration_s(self, ledger: EngineLedger, order: Order) -> float:
+        """Returns how long a model order should take."""
+        if order.verb is Verb.UNLOAD:
+            return engineorders.OVERDUE_S
+        target = self._book.get(ledger.identity)
+        service = target.entry.service if target else ""
+        model = self._pools.get(service, {}).get(order.model)
+        if model is None:
+            return engineorders.OVERDUE_S
+        if order.model in ledger.in_memory:
+            return model.memory_load_s
+        if order.model in ledger.on_disk:
+            return model.disk_load_s
+        return model.store_load_s
+
+    def _order_adapters(
+        self, service: str, pool: routetable.EnginePool, now: float
+    ) -> None:
+        """Brings adapters that requests wait for to an engine each."""
+        loads = self.demand.loads(now)
+        for (name, model, adapter), _ in self.demand.needs(now).items():
+            if name != service or not adapter:
+                continue
+            engines = [
+                ledger
+                for ledger in self._of_service(service)
+                if model in ledger.usable()
+            ]
+            if any((model, adapter) in e.adapters() for e in engines):
+                continue
+            free = [
+                e
+                for e in engines
+                if e.known and not e.in_call and now >= e.retry_at
+            ]
+            if not free:
+                continue
+            # The engine with the fewest adapters in use, then requests.
+            best = min(
+                free,
+                key=lambda e: (
+                    len(e.adapters()) >= pool.adapter_places,
+                    loads[e.identity].in_flight if e.identity in loads else 0,
+                    e.identity,
+                ),
+            )
+            order = engineorders.plan_adapter(
+                best, model, adapter, pool.adapter_places, now
+            )
+            if order is not None:
+                self._start(best, self._order(best, order))
+
+    def _of_service(self, service: str) -> list[EngineLedger]:
+        found = []
+        for ledger in self._ledgers.values():
+            target = self._book.get(ledger.identity)
+            if target is not None and target.entry.service == service:
+                found.append(ledger)
+        return found
+
+    def _plan_models(
+        self, service: str, pool: routetable.EnginePool, now: float
+    ) -> None:
+        """Plans model moves for the engines that are free."""
+        self._pools[service] = pool.models
+        loads = self.demand.loads(now)
+        states = []
+        for ledger in self._of_service(service):
+            target = self._book.get(ledger.identity)
+            assert target is not None
+            models = set(ledger.holdings)
+            models |= {o.model for o in ledger.pending if o.verb is Verb.LOAD}
+            if ledger.loading:
+                models.add(ledger.loading)
+            load = loads.get(ledger.identity)
+            states.append(
+                copyplan.EngineState(
+                    ledger.identity,
+                    target.entry.data_centre,
+                    frozenset(models),
+                    ledger.known and not ledger.busy and not ledger.in_call,
+                    ledger.in_memory,
+                    ledger.on_disk,
+                    load.in_flight if load else 0,
+                )
+            )
+        self._store_loads = [
+            at for at in self._store_loads if now - at < self._load_window_s
+        ]
+        allowed = int(
+            pool.loads_per_s * self._load_window_s * STORE_RATE_USED
+        ) - len(self._store_loads)
+        demand = self.demand.of_service(service, now)
+        for move in copyplan.plan(pool, states, demand, allowed, now):
+            ledger = self._ledgers[move.engine]
+            ledger.pending = [
+                *(Order(Verb.UNLOAD, name) for name in move.unload),
+                Order(Verb.LOAD, move.load),
+            ]
+            if move.unload:
+                ledger.retry_at = now + UNLOAD_NOTICE_S
+            if move.from_store:
+                self._store_loads.append(now)
+            known = demand.get(move.load, copyplan.ModelDemand())
+            telemetry.log(
+                _log,
+                "model_move_planned",
+                target=move.engine,
+                load=move.load,
+                unload=",".join(move.unload),
+                from_store=move.from_store,
+                per_s=known.per_s,
+                waiting=known.waiting,
+            )
+            self._publish(ledger)
+
+
+def _holding(ledger: EngineLedger) -> summaries.Holding:
+    usable = ledger.usable()
+    return summaries.Holding(
+        ledger.identity, {m: sorted(a) for m, a in usable.items()}
+    )
--- a/carobsail/platform/__main__.py
+++ b/carobsail/platform/__main__.py
@@ -4,6 +4,7 @@
 import os
 import random
 import sys
+import time
 
 from carobsail import (
     instancesettings,
@@ -13,11 +14,15 @@
     signals,
     telemetry,
 )
-from carobsail.platform import documents, headers, store
+from carobsail.platform import documents, engines, headers, store
 
 SETTINGS_VARIABLE = "CAROBSAIL_CONFIG"
 
 
+def _boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 async def _serve(loaded: instancesettings.InstanceSettings) -> int:
     log = telemetry.direct_logging(
         loaded.log_level, logsink.LogSink(sys.stdout.fileno())
@@ -28,6 +33,8 @@
         client,
         headers.PlatformHeaders(),
         documents.PlatformDocuments(),
+        engines.EngineCalls(),
+        _boot_clock,
         random.Random(),
     )
     await instance.start()
--- a/carobsail/platform/documents.py
+++ b/carobsail/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobsail import errors, keyvalue, servinginstance, telemetry
+from carobsail.engineorders import EngineReport
 from carobsail.routetable import (
     CallerLimits,
     EnginePool,
@@ -107,7 +108,6 @@
     zone: _Text
     state: str
     slots: Annotated[int, msgspec.Meta(ge=0)] = 1
-    seqNo: int = 0  # noqa: N815
     born: int = 0
     models: list[_Resident] = []
     atHand: _AtHand | None = None  # noqa: N815
@@ -175,7 +175,6 @@
         plain.slots,
         leaving,
         plain.born,
-        plain.seqNo,
         _residents(plain.models),
         frozenset(at_hand.inMemory),
         frozenset(at_hand.onDisk),
@@ -183,6 +182,29 @@
     )
 
 
+def read_report(identity: str, data: bytes) -> EngineReport | errors.Failure:
+    """Decodes what an engine says of itself."""
+    try:
+        plain = msgspec.json.decode(data, type=_Report)
+    except msgspec.DecodeError as error:
+        return _malformed(identity, error)
+    coming: dict[str, set[str]] = {}
+    for name in plain.coming:
+        # MODEL/NAME@VERSION
+        model, _, adapter = name.rpartition("@")[0].partition("/")
+        coming.setdefault(model, set()).add(adapter)
+    at_hand = plain.atHand or _AtHand()
+    return EngineReport(
+        {m.name: frozenset(m.adapters) for m in plain.models},
+        plain.busy,
+        plain.seqNo,
+        {m: frozenset(a) for m, a in coming.items()},
+        frozenset(at_hand.inMemory),
+        frozenset(at_hand.onDisk),
+        plain.born,
+    )
+
+
 def _residents(models: list[_Resident]) -> tuple[ResidentModel, ...]:
     return tuple(
         ResidentModel(m.name, m.version, frozenset(m.adapters)) for m in models
--- /dev/null
+++ b/carobsail/platform/engines.py
@@ -0,0 +1,111 @@
+"""Orders and questions to the platform's engines."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from carobsail import engineorders, errors, httpclient
+from carobsail.engineorders import EngineReport, Order, Verdict
+from carobsail.platform import documents, headers
+
+# An engine accepts an order at once; only the way takes time.
+CALL_TIMEOUT_S = 0.6
+_CONNECT_TIMEOUT_S = 0.4
+_CONNECTIONS = 4
+_IDLE_S = 3.0
+_ANSWER_BYTES = 1_048_576
+_VERDICTS = {
+    200: Verdict.HOLDS_ALREADY,
+    202: Verdict.ACCEPTED,
+    409: Verdict.CONFLICT,
+    412: Verdict.FENCED,
+}
+
+
+class EngineCalls(engineorders.OrderPort):
+    """See base class."""
+
+    __slots__ = ("_pools",)
+
+    def __init__(self) -> None:
+        self._pools: dict[tuple[str, str], httpclient.Pool] = {}
+
+    async def order(
+        self,
+        identity: str,
+        address: str,
+        order: Order,
+        orders_before: int,
+        holder: str,
+        fence: int,
+    ) -> Verdict | errors.Failure:
+        """See base class."""
+        body: dict[str, Any] = {
+            "opType": str(order.verb),
+            "model": order.model,
+            "expected": orders_before,
+            "holder": holder,
+            "fenceToken": fence,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        result = await self._call(
+            identity, address, "POST", "/v1/order", msgspec.json.encode(body)
+        )
+        if isinstance(result, errors.Failure):
+            return result
+        status, _ = result
+        verdict = _VERDICTS.get(status)
+        if verdict is not None:
+            return verdict
+        return _failure(identity, f"status {status}", errors.Outcome.NOT_RUN)
+
+    async def report(
+        self, identity: str, address: str
+    ) -> EngineReport | errors.Failure:
+        """See base class."""
+        result = await self._call(identity, address, "GET", "/v1/report", b"")
+        if isinstance(result, errors.Failure):
+            return result
+        status, content = result
+        if status != 200:
+            return _failure(identity, f"status {status}", errors.Outcome.FAILED)
+        return documents.read_report(identity, content)
+
+    async def _call(
+        self, identity: str, address: str, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes] | errors.Failure:
+        key = (identity, address)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = httpclient.Pool(
+                address, _CONNECTIONS, _CONNECT_TIMEOUT_S, identity, _IDLE_S
+            )
+        sent = [
+            ("content-type", "application/json"),
+            (headers.TARGET_INSTANCE, identity),
+        ]
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await pool.request(method, path, sent, body)
+                if isinstance(answer, errors.Failure):
+                    return answer
+                content = await answer.read(_ANSWER_BYTES)
+        except TimeoutError:
+            return _failure(identity, "no answer", errors.Outcome.UNKNOWN)
+        if isinstance(content, errors.Failure):
+            return content
+        return answer.status, content
+
+
+def _failure(
+    identity: str, detail: str, outcome: errors.Outcome
+) -> errors.Failure:
+    return errors.Failure(
+        errors.Reason.TARGET_ERROR,
+        errors.Step.ORDER,
+        identity,
+        outcome,
+        detail,
+    )
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -38,6 +38,8 @@
 IDLE_CONNECTION_S = 3.0
 # Time that an answer needs to reach its caller.
 ANSWER_MARGIN_S = 0.02
+# Assumed before the order giver has told how many instances there are.
+UNKNOWN_MEMBERS = 16
 # Patience that is assumed of a caller that states none.
 DEFAULT_PATIENCE_S = 30.0
 # Objective from which on a stream yields to those with a shorter one.
@@ -116,10 +118,11 @@
 
     Attributes:
       table: Configuration in force, or None before the first one.
-      books: Targets.
+      book: Targets.
       members: Number of instances known, this one included.
       waiting: Requests that wait for a model or adapter, by name.
-      arrivals: Requests by model since the start.
+      arrivals: Requests by service and model since the start.
+      coming: Services and models that are being loaded.
     """
 
     def __init__(
@@ -130,7 +133,6 @@
         budget: BudgetTerms,
         metrics: telemetry.Metrics,
         rng: random.Random,
-        on_need: Callable[[str, str, str], None] = lambda *_: None,
     ) -> None:
         """Creates the request path.
 
@@ -141,26 +143,32 @@
           budget: Bound on repeats.
           metrics: Counters and timings.
           rng: Source of random choices.
-          on_need: Called with service, model and adapter that a request
-            waits for.
         """
         self.table: routetable.RouteTable | None = None
         self.book = book
-        self.members = 1
+        self.members = UNKNOWN_MEMBERS
         self.in_flight = 0
         self.waiting: dict[tuple[str, str, str], int] = {}
         self.arrivals: dict[tuple[str, str], int] = {}
+        self.coming: set[tuple[str, ...]] = set()
+        self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
         self._place = place
         self._budget_terms = budget
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
         self._metrics = metrics
         self._rng = rng
-        self._on_need = on_need
+        # Set by what tells the order giver that requests wait.
+        self.on_need: Callable[[str, str, str], None] = lambda *_: None
         self._pools = Pools()
         self._memory = promptmemory.PromptMemory()
         self._changed = asyncio.Event()
 
+    def take_uses(self) -> set[tuple[str, str, str]]:
+        """Returns target, model and adapter of sends since the last call."""
+        uses, self._uses = self._uses, set()
+        return uses
+
     def changed(self) -> None:
         """Wakes the requests that wait, after a change of targets."""
         identities = {t.entry.identity for t in self.book.all()}
@@ -359,7 +367,7 @@
                 left_s=want.due_at - asyncio.get_running_loop().time(),
             )
         if reason in ("model", "adapter"):
-            self._on_need(want.service, want.model, want.adapter)
+            self.on_need(want.service, want.model, want.adapter)
 
     def _stop_waiting(self, call: _Call) -> None:
         if not call.awaiting:
@@ -379,6 +387,10 @@
         progress = call.progress
         progress.sends += 1
         call.targets.append(target.entry.identity)
+        if call.want.adapter:
+            self._uses.add(
+                (target.entry.identity, call.want.model, call.want.adapter)
+            )
         left_s = call.leaves_at - loop.time()
         plan = callerwire.SendPlan(
             target.entry.identity,
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -8,11 +8,15 @@
 import dataclasses
 import logging
 import random
+from collections.abc import Callable
 
 from carobsail import (
     callerwire,
+    coordination,
+    engineorders,
     httpserver,
     keyvalue,
+    orderlease,
     routetable,
     serving,
     settings,
@@ -61,6 +65,8 @@
         store: keyvalue.KeyValueClient,
         wire: callerwire.CallerWire,
         documents: Documents,
+        orders: engineorders.OrderPort,
+        boot_clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Creates an instance that does not run yet.
@@ -70,6 +76,8 @@
           store: Client of the store.
           wire: Headers of the deployment.
           documents: Documents of the deployment.
+          orders: Sends orders to engines.
+          boot_clock: Clock that includes the time of a suspended machine.
           rng: Source of random choices.
         """
         self.failed = asyncio.Event()
@@ -92,6 +100,20 @@
         self._mirror = storemirror.StoreMirror(
             store, "", self._apply, self._store_contact, rng
         )
+        self._coordination = coordination.Coordination(
+            orderlease.Holder(loaded.instance, loaded.address),
+            loaded.first_port,
+            loaded.order_turn_ms / 1000.0,
+            loaded.load_window_s,
+            store,
+            self._book,
+            self._serving,
+            orders,
+            boot_clock,
+            self._metrics,
+            rng,
+        )
+        self._serving.on_need = self._coordination.need
         self._draining = False
         self._servers: list[httpserver.Server] = []
         self._callers: httpserver.Server | None = None
@@ -110,7 +132,11 @@
         self._callers = await httpserver.serve(
             host, port, self._serving.handle, bounds, "callers"
         )
+        await self._coordination.open()
         self._start_duty(self._mirror.run())
+        self._start_duty(self._coordination.keep_lease())
+        self._start_duty(self._coordination.run_rounds())
+        self._start_duty(self._coordination.run_summaries())
 
     def _start_duty(self, duty) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(duty)
@@ -148,6 +174,7 @@
             if table is not None:
                 changed |= self._install(table)
         for event in changes:
+            self._coordination.observe(event)
             entry = self._documents.target(event, self._serving.table)
             if entry is None:
                 continue
@@ -155,7 +182,7 @@
             if isinstance(entry, str):
                 self._book.remove(entry, now)
             else:
-                self._book.put(entry)
+                self._book.put(entry, now)
             telemetry.log(
                 _log,
                 "target_listed"
@@ -205,6 +232,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self._settings.grace_s - KILL_MARGIN_S
         self._callers.announce_drain()
+        self._start_duty(self._coordination.hand_over())
         await asyncio.sleep(ROTATION_S)
         try:
             async with asyncio.timeout_at(end):
@@ -218,6 +246,7 @@
         """Stops at once; returns the number of requests cut."""
         for task in self._tasks:
             task.cancel()
+        self._coordination.close()
         cut = await self._callers.close() if self._callers else 0
         for server in self._servers:
             await server.close()
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -64,7 +64,7 @@
         self._on_changes = on_changes
         self._on_contact = on_contact
         self._rng = rng
-        self._known: dict[str, int] = {}
+        self._known: dict[str, keyvalue.KeyValue] = {}
         self.revision = 0
         self.reachable = False
         self.contact_at = float("-inf")
@@ -131,18 +131,34 @@
     def _apply(self, events: Changes) -> None:
         fresh = []
         for event in sorted(events, key=lambda e: e.mod_revision):
-            known = self._known.get(event.key, 0)
-            if event.mod_revision <= known:
+            known = self._known.get(event.key)
+            if known is not None and event.mod_revision <= known.mod_revision:
                 continue
             if event.value is None:
                 if self._known.pop(event.key, None) is None:
                     continue
             else:
-                self._known[event.key] = event.mod_revision
+                self._known[event.key] = keyvalue.KeyValue(
+                    event.key, event.value, event.mod_revision
+                )
             fresh.append(event)
         if fresh:
             self._on_changes(fresh)
 
+    def snapshot(self) -> list[keyvalue.KeyValue]:
+        """Returns the copy, for an instance that cannot reach the store."""
+        return list(self._known.values())
+
+    def adopt(self, values: list[keyvalue.KeyValue]) -> None:
+        """Takes over another instance's copy, before the first reading."""
+        if not self.revision:
+            self._apply(
+                [
+                    keyvalue.WatchEvent(v.key, v.value, v.mod_revision)
+                    for v in values
+                ]
+            )
+
     def _contact(
         self, reachable: bool, failure: errors.Failure | None = None
     ) -> None:
--- /dev/null
+++ b/carobsail/summaries.py
@@ -0,0 +1,127 @@
+"""What instances tell each other a few times a second, as datagrams.
+
+Each instance sends a `Summary` to the order giver; the order giver sends a
+`Board` to each instance. So the number of messages grows with the number of
+instances and not with its square. Losing one costs accuracy only: each message
+states values and no differences.
+"""
+
+import msgspec
+
+
+class EngineLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Requests under way at a target.
+
+    Attributes:
+      target: Identity of the target.
+      in_flight: Requests.
+      prompt_tokens: Prompt tokens of those without a first event.
+    """
+
+    target: str
+    in_flight: int
+    prompt_tokens: int
+
+
+class Demand(msgspec.Struct, array_like=True, frozen=True):
+    """Demand for a model at an instance.
+
+    Attributes:
+      service: Service of the model.
+      model: Model.
+      arrivals: Requests since the start of the instance.
+    """
+
+    service: str
+    model: str
+    arrivals: int
+
+
+class Need(msgspec.Struct, array_like=True, frozen=True):
+    """Requests that wait for a model, or for an adapter of it."""
+
+    service: str
+    model: str
+    adapter: str
+    waiting: int
+
+
+class AdapterUse(msgspec.Struct, array_like=True, frozen=True):
+    """An adapter that was used at an engine since the last summary."""
+
+    target: str
+    model: str
+    adapter: str
+
+
+class Summary(
+    msgspec.Struct, array_like=True, frozen=True, tag="summary", kw_only=True
+):
+    """What an instance tells the order giver.
+
+    Attributes:
+      instance: Name of the instance.
+      incarnation: Start of its process; differs after each restart.
+      number: Number of the summary; older ones are ignored.
+      loads: Targets with requests under way.
+      demand: Demand for models.
+      needs: Requests that wait.
+      uses: Adapters used lately.
+    """
+
+    instance: str
+    incarnation: int
+    number: int
+    loads: list[EngineLoad]
+    demand: list[Demand]
+    needs: list[Need]
+    uses: list[AdapterUse]
+
+
+class Holding(msgspec.Struct, array_like=True, frozen=True):
+    """What an engine serves now: adapters by model."""
+
+    target: str
+    models: dict[str, list[str]]
+
+
+class Board(
+    msgspec.Struct, array_like=True, frozen=True, tag="board", kw_only=True
+):
+    """What the order giver tells an instance.
+
+    Attributes:
+      fence: Fencing number of the order giver; a lower one is ignored.
+      number: Number of the board; loads of an older one are ignored.
+      holdings: Engines whose holdings changed, and some others in turn.
+      loads: Requests under way at some targets, over all instances; the
+        receiver takes off its own.
+      coming: Models that are being loaded, by service.
+      members: Instances that sent summaries lately.
+    """
+
+    fence: int
+    number: int
+    holdings: list[Holding]
+    loads: list[EngineLoad]
+    coming: list[tuple[str, str]]
+    members: int
+
+
+Message = Summary | Board
+
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message | None:
+    """Returns the message, or None if the bytes are none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
--- a/carobsail/targetbook.py
+++ b/carobsail/targetbook.py
@@ -15,6 +15,9 @@
 # First pause of a target that failed, doubled with each further failure.
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
+# Entries show a change of adapters up to a heartbeat late; for this long what
+# the order giver said goes before what an entry says.
+TOLD_VALID_S = 3.0
 # Weight of the newest outcome in a target's moving failure share.
 FAILURE_WEIGHT = 0.1
 
@@ -40,7 +43,6 @@
       slots: Requests that it runs at once.
       leaving: Whether it takes no new work.
       born: Unix milliseconds of its start; 0 if it did not say.
-      orders: Orders that it has accepted since its start.
       models: What it holds, if it is an engine.
       in_memory: Models of which it keeps a copy in host memory.
       on_disk: Models of which it keeps a copy on disk.
@@ -54,7 +56,6 @@
     slots: int
     leaving: bool
     born: int
-    orders: int
     models: tuple[ResidentModel, ...]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
@@ -75,7 +76,8 @@
       prompt_tokens: Prompt tokens of those that have no first event yet.
       others_in_flight: Requests of other instances, from their summaries.
       others_prompt_tokens: Prompt tokens of those.
-      held: Models and adapters held, newest of entry and order giver.
+      held: Models and adapters held, by the order giver or the entry.
+      told_at: When the order giver last told them.
       load_running: Running requests as the target last said.
       load_waiting: Waiting requests as the target last said.
       load_at: When it said so.
@@ -91,7 +93,7 @@
     others_in_flight: int = 0
     others_prompt_tokens: float = 0.0
     held: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
-    held_orders: int = -1
+    told_at: float = float("-inf")
     load_running: int = 0
     load_waiting: int = 0
     load_at: float = float("-inf")
@@ -148,7 +150,7 @@
         if not reachable:
             self._outage_until = now + LAPSE_GRACE_S
 
-    def put(self, entry: TargetEntry) -> None:
+    def put(self, entry: TargetEntry, now: float) -> None:
         """Takes over a listed entry; an older revision is ignored."""
         known = self._targets.get(entry.identity)
         if known is None:
@@ -157,23 +159,23 @@
             return
         elif entry.born != known.entry.born:
             # The same identity started anew: nothing of before holds.
-            fresh = Target(entry, in_flight=known.in_flight)
-            self._targets[entry.identity] = known = fresh
+            known = self._targets[entry.identity] = Target(entry)
         known.entry = entry
         known.lapsed_at = None
-        self.hold(
-            known,
-            {model.name: model.adapters for model in entry.models},
-            entry.orders,
-        )
-
-    def hold(
-        self, target: Target, held: dict[str, frozenset[str]], orders: int
-    ) -> None:
-        """Takes over what an engine holds after so many orders."""
-        if orders >= target.held_orders:
-            target.held = held
-            target.held_orders = orders
+        if now - known.told_at > TOLD_VALID_S:
+            known.held = {m.name: m.adapters for m in entry.models}
+
+    def tell(
+        self, identity: str, held: dict[str, frozenset[str]], now: float
+    ) -> bool:
+        """Takes over what the order giver says; tells whether it is new."""
+        target = self._targets.get(identity)
+        if target is None:
+            return False
+        changed = target.held != held
+        target.held = held
+        target.told_at = now
+        return changed
 
     def remove(self, identity: str, now: float) -> None:
         """Removes an entry; during an outage it stays for the grace."""
@@ -190,7 +192,7 @@
         """Takes over a full listing."""
         listed = {entry.identity for entry in entries}
         for entry in entries:
-            self.put(entry)
+            self.put(entry, now)
         for identity in [i for i in self._targets if i not in listed]:
             self.remove(identity, now)
 
