Plan model moves by what they cost and let engines keep taking adapters

Change: costs for overload, hurry and blocked adapters; early loads must gain; an engine under an unknown order is planned only after it has ended.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -327,8 +327,8 @@
             number=self._number,
             loads=loads,
             demand=[
-                summaries.Demand(service, model, count)
-                for (service, model), count in self._serving.arrivals.items()
+                summaries.Demand(*key, arrived.count, arrived.objective_s)
+                for key, arrived in self._serving.arrivals.items()
             ],
             needs=[
                 summaries.Need(*key, count)
--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -7,6 +7,9 @@
 - Many rare models are asked for at once, more than the engines hold: the model
   with callers waiting takes the place of a surplus copy first, then of the
   model that was not asked for longest.
+- An engine takes no order for an adapter while it loads a model, for 9 s from
+  the store: the loads spread so that each model whose adapters are asked for
+  keeps an engine that takes orders.
 - Engines end with the only copy of a model: its next copy goes where its
   weights are at hand.
 """
@@ -21,7 +24,7 @@
 # ms, and its part of the steps.
 REQUEST_WORK_S = 0.17
 # Part of an engine's time that one model's requests may take at one copy.
-TARGET_USE = 0.35
+TARGET_USE = 0.5
 # A model that was not asked for this long is wanted by nobody.
 IDLE_S = 15.0
 # A last copy that was asked for within this time is not given up.
@@ -29,6 +32,18 @@
 # Demand in requests a second from which a model has two copies, so that the
 # loss of an engine leaves one.
 SPARE_COPY_PER_S = 0.7
+# Seconds of waiting that a load before the next request saves.
+EARLY_LOAD_GAIN_S = 10.0
+# A model is not expected to be asked for by callers in a hurry unless it was,
+# or has adapters; its last copy then counts this much more than one that
+# callers can wait for.
+HURRY_WEIGHT = 5.0
+# Cost of leaving a model at its target use with one copy less, against that of
+# a last copy of a model that callers can wait for, 4 and more.
+OVERLOAD_COST = 12.0
+# Cost of taking the last engine from a model's adapters, for each second of
+# the load and each request a second.
+ADAPTER_BLOCK_COST = 2.0
 # A model keeps a copy beyond its wanted ones while its demand lies above this
 # part of what the copy is for, so that copies do not come and go.
 KEEP_USE = 0.2
@@ -41,12 +56,14 @@
     Attributes:
       per_s: Requests a second, smoothed.
       asked_at: When it was last asked for.
-      waiting: Requests that wait for a first copy.
+      waiting: Requests that wait for a copy or an adapter.
+      objective_s: Shortest objective of its requests so far.
     """
 
     per_s: float = 0.0
     asked_at: float = float("-inf")
     waiting: int = 0
+    objective_s: float = float("inf")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -193,7 +210,14 @@
         if room is None:
             continue
         unload, loss_s = room
+        known = demand.get(name, ModelDemand())
+        if not known.waiting and loss_s > EARLY_LOAD_GAIN_S * known.per_s:
+            continue
         cost = load_s + loss_s + 0.02 * state.in_flight
+        blocked = _blocked_per_s(state, unload, pool, states, demand)
+        if blocked and not first_copy:
+            continue
+        cost += ADAPTER_BLOCK_COST * load_s * blocked
         if state.data_centre in served_there:
             cost += 1.0
         move = Move(state.identity, name, unload, from_store)
@@ -202,6 +226,29 @@
     return None if best is None else best[2]
 
 
+def _blocked_per_s(
+    state: EngineState,
+    unload: tuple[str, ...],
+    pool: routetable.EnginePool,
+    states: list[EngineState],
+    demand: Mapping[str, ModelDemand],
+) -> float:
+    """Returns the demand whose adapters no other free engine can take."""
+    blocked = 0.0
+    for name in state.models:
+        if name in unload or not pool.models[name].adapters:
+            continue
+        known = demand.get(name)
+        if known is None or not (known.per_s > 0.1 or known.waiting):
+            continue
+        others = (
+            s for s in states if s.free and s is not state and name in s.models
+        )
+        if not any(others):
+            blocked += known.per_s + known.waiting
+    return blocked
+
+
 def _make_room(
     state: EngineState,
     model: routetable.Model,
@@ -221,7 +268,7 @@
     loss_s = 0.0
     victims = sorted(
         (
-            _loss_s(name, copies, wanted, demand, first_copy, now),
+            _loss_s(pool.models[name], copies, wanted, demand, first_copy, now),
             name,
         )
         for name in state.models
@@ -238,7 +285,7 @@
 
 
 def _loss_s(
-    name: str,
+    model: routetable.Model,
     copies: Mapping[str, int],
     wanted: Mapping[str, int],
     demand: Mapping[str, ModelDemand],
@@ -246,18 +293,22 @@
     now: float,
 ) -> float:
     """Returns what unloading a copy costs; infinite if it must stay."""
-    known = demand.get(name, ModelDemand())
-    present = copies.get(name, 0)
-    if present > wanted[name]:
-        after = known.per_s * REQUEST_WORK_S / max(1, present - 1)
-        if present > 1 and after > TARGET_USE * (1.0 - KEEP_USE):
-            return math.inf
-        return known.per_s
+    known = demand.get(model.name, ModelDemand())
+    present = copies.get(model.name, 0)
+    if present > 1:
+        use = known.per_s * REQUEST_WORK_S / (present - 1) / TARGET_USE
+        if use > 1.0 - KEEP_USE:
+            # Copies would come and go if the last one left just below.
+            return OVERLOAD_COST * use if first_copy else math.inf
+        if present > wanted[model.name] or first_copy:
+            return known.per_s
+        return math.inf
     if not first_copy:
         return math.inf
-    if present > 1:
-        # A model with two copies gives one up for one that has none.
-        return 2.0 + 4.0 * known.per_s
     if known.waiting or now - known.asked_at < RECENT_S:
         return math.inf
-    return 4.0 + 10.0 / (1.0 + now - known.asked_at)
+    hurried = known.objective_s < model.disk_load_s or (
+        model.adapters > 0 and math.isinf(known.objective_s)
+    )
+    loss = 4.0 + 10.0 / (1.0 + now - known.asked_at)
+    return loss * (HURRY_WEIGHT if hurried else 1.0)
--- a/carobsail/engineorders.py
+++ b/carobsail/engineorders.py
@@ -142,9 +142,14 @@
         return bool(self.loading or self.unloading or self.pending)
 
     def read(self, report: EngineReport) -> bool:
-        """Takes over a report; tells whether the holdings changed."""
+        """Takes over a report; tells whether the holdings changed.
+
+        A model order of an earlier holder may be under way; what it loads is
+        not reported, so the engine is known only after that order has ended.
+        """
         before = self.usable()
-        self.known = True
+        ours = bool(self.loading or self.unloading)
+        self.known = not report.busy or ours
         self.orders = report.orders
         self.holdings = {m: set(a) for m, a in report.holdings.items()}
         self.coming = {
@@ -160,7 +165,10 @@
 
     def accepted(self, order: Order, verdict: Verdict, now: float) -> None:
         """Records an order that the engine accepted."""
-        if verdict is Verdict.ACCEPTED:
+        at_once = bool(order.adapter) and order.verb is Verb.UNLOAD
+        if verdict is Verdict.ACCEPTED or at_once:
+            # An adapter that nobody uses is gone with the answer, which then
+            # says that the order holds already; it counts all the same.
             self.orders += 1
         key = (order.model, order.adapter)
         if order.adapter:
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -23,6 +23,8 @@
 
 # Time constant of the smoothed demand; the users' demand moves in 4 to 6 s.
 DEMAND_SMOOTHING_S = 3.0
+# Before demand was seen for this long, every model looks idle.
+SETTLE_S = 2.0
 # What an instance said counts for this long after its last summary.
 SUMMARY_VALID_S = 3.0
 # Time between two rounds of planning.
@@ -52,17 +54,23 @@
     per_s: float = 0.0
     asked_at: float = float("-inf")
     fresh: int = 0
+    objective_s: float = float("inf")
 
 
 class DemandBook:
     """Demand for models and load of targets, from all instances' summaries."""
 
-    __slots__ = ("_demand", "_instances", "_rated_at")
+    __slots__ = ("_demand", "_first_at", "_instances", "_rated_at")
 
     def __init__(self) -> None:
         self._instances: dict[str, _Instance] = {}
         self._demand: dict[tuple[str, str], _Demand] = {}
         self._rated_at: float | None = None
+        self._first_at: float | None = None
+
+    def settled(self, now: float) -> bool:
+        """Whether demand was seen for long enough to compare models."""
+        return self._first_at is not None and now - self._first_at >= SETTLE_S
 
     def take(self, summary: summaries.Summary, now: float) -> None:
         """Takes over a summary; an older one is ignored."""
@@ -80,12 +88,15 @@
             before = {}
         for entry in summary.demand:
             key = (entry.service, entry.model)
+            demand = self._demand.setdefault(key, _Demand())
+            demand.objective_s = min(demand.objective_s, entry.objective_s)
             # What a new instance had received before is not recent demand.
             fresh = entry.arrivals - before.get(key, 0) if same else 0
             if fresh > 0:
-                demand = self._demand.setdefault(key, _Demand())
                 demand.fresh += fresh
                 demand.asked_at = now
+                if self._first_at is None:
+                    self._first_at = now
         self._instances[summary.instance] = _Instance(summary, now)
 
     def rate(self, now: float) -> None:
@@ -128,9 +139,16 @@
         for (name, model, _), count in self.needs(now).items():
             if name == service:
                 waiting[model] = waiting.get(model, 0) + count
+        # Smoothing starts from zero; without this the first seconds would look
+        # calmer than they are.
+        seen_s = now - (self._first_at if self._first_at else now)
+        part = 1.0 - math.exp(-max(seen_s, 0.5) / DEMAND_SMOOTHING_S)
         found = {
             model: copyplan.ModelDemand(
-                demand.per_s, demand.asked_at, waiting.pop(model, 0)
+                demand.per_s / part,
+                demand.asked_at,
+                waiting.pop(model, 0),
+                demand.objective_s,
             )
             for (name, model), demand in self._demand.items()
             if name == service
@@ -409,7 +427,11 @@
             free = [
                 e
                 for e in engines
-                if e.known and not e.in_call and now >= e.retry_at
+                if e.known
+                and not e.in_call
+                and not e.loading
+                and not e.unloading
+                and now >= e.retry_at
             ]
             if not free:
                 continue
@@ -441,6 +463,8 @@
     ) -> None:
         """Plans model moves for the engines that are free."""
         self._pools[service] = pool.models
+        if not self.demand.settled(now):
+            return
         loads = self.demand.loads(now)
         states = []
         for ledger in self._of_service(service):
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -62,6 +62,7 @@
     cursor: eventstream.EventCursor
     targets: list[str] = dataclasses.field(default_factory=list)
     awaiting: str = ""
+    awaiting_since: float = 0.0
     failure: errors.Failure | None = None
     # A target's own failure answer, passed on if nothing better follows.
     verdict: tuple[int, callerwire.Headers, bytes] | None = None
@@ -113,6 +114,14 @@
     window_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class Arrivals:
+    """Requests for a model since the start, and their shortest objective."""
+
+    count: int = 0
+    objective_s: float = 3600.0
+
+
 class Serving:
     """The request path of one instance.
 
@@ -149,7 +158,7 @@
         self.members = UNKNOWN_MEMBERS
         self.in_flight = 0
         self.waiting: dict[tuple[str, str, str], int] = {}
-        self.arrivals: dict[tuple[str, str], int] = {}
+        self.arrivals: dict[tuple[str, str], Arrivals] = {}
         self.coming: set[tuple[str, ...]] = set()
         self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
@@ -239,8 +248,11 @@
         )
         self._budget(service).count_request(now)
         if terms.model:
-            key = (service, terms.model)
-            self.arrivals[key] = self.arrivals.get(key, 0) + 1
+            arrived = self.arrivals.setdefault(
+                (service, terms.model), Arrivals()
+            )
+            arrived.count += 1
+            arrived.objective_s = min(arrived.objective_s, route.objective_s)
         return _Call(
             request,
             responder,
@@ -357,6 +369,7 @@
             key = (want.service, want.model, want.adapter)
             self.waiting[key] = self.waiting.get(key, 0) + 1
             call.awaiting = reason
+            call.awaiting_since = asyncio.get_running_loop().time()
             telemetry.log(
                 _log,
                 "request_waits",
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -30,11 +30,13 @@
       service: Service of the model.
       model: Model.
       arrivals: Requests since the start of the instance.
+      objective_s: Shortest objective of them in seconds.
     """
 
     service: str
     model: str
     arrivals: int
+    objective_s: float
 
 
 class Need(msgspec.Struct, array_like=True, frozen=True):
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -34,6 +34,9 @@
 OTHER_REGION_S = 0.08
 # Cost in seconds of a target that fails all of its requests.
 FAILING_S = 0.4
+# A caller waits this long for the order giver to plan a load; then no engine
+# has room for the model, and the caller had better come back.
+MAX_UNPLANNED_WAIT_S = 3.0
 # A target's own statement of its load is used for this long.
 LOAD_VALID_S = 1.0
 # Largest wait in seconds that a caller is asked to accept before its retry.
@@ -71,6 +74,8 @@
       objective_at: Until when the answer is on time.
       excluded: Identities to which it is not sent again.
       cached_tokens: Prompt tokens that a target still has, by identity.
+      load_coming: Whether the order giver says that the model is coming.
+      waited_s: Seconds that it has waited for the model or adapter.
     """
 
     service: str
@@ -81,6 +86,8 @@
     objective_at: float
     excluded: set[str] = dataclasses.field(default_factory=set)
     cached_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    load_coming: bool = False
+    waited_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -144,7 +151,7 @@
         if want.adapter:
             able = [t for t in able if want.adapter in t.held[want.model]]
             if not able:
-                return Wait("adapter", now + min(left_s, 0.5))
+                return _await_adapter(want, left_s, now)
     rested = [t for t in able if t.paused_until <= now]
     if not rested:
         return _await_target(able, left_s, now)
@@ -185,13 +192,24 @@
     want: Want, pool: routetable.EnginePool, left_s: float, now: float
 ) -> Choice:
     model = pool.models[want.model]
-    # A copy on a disk is the common case; a load from the store may still
-    # end in time for callers with a long deadline.
-    if left_s < model.memory_load_s:
+    if want.load_coming:
+        if left_s < FIRST_EVENT_S:
+            return Refuse("model_not_loaded_in_time", _retry_s(left_s))
+        return Wait("model", now + min(left_s, 0.5))
+    # A copy at hand is the common case; a load from the store may still end
+    # in time for callers with a long deadline.
+    if left_s < model.memory_load_s or want.waited_s > MAX_UNPLANNED_WAIT_S:
         return Refuse("model_absent", _retry_s(left_s, model.disk_load_s))
     return Wait("model", now + min(left_s, 0.5))
 
 
+def _await_adapter(want: Want, left_s: float, now: float) -> Choice:
+    # An adapter takes some 10 ms once an engine takes orders again.
+    if left_s < FIRST_EVENT_S or want.waited_s > 2.0 * left_s:
+        return Refuse("adapter_absent", _retry_s(left_s))
+    return Wait("adapter", now + min(left_s, 0.5))
+
+
 def _await_target(able: Sequence[Target], left_s: float, now: float) -> Choice:
     if not able:
         if left_s < 0.5:
