Reload settings on SIGHUP; refuse what still waits when an instance ends

Change: a handler reads the settings again; waiting requests are refused as not run 2 s before the end.

--- a/carobsail/platform/__main__.py
+++ b/carobsail/platform/__main__.py
@@ -1,6 +1,7 @@
 """Runs an instance on the users' platform."""
 
 import asyncio
+import logging
 import os
 import random
 import sys
@@ -40,6 +41,7 @@
     await instance.start()
     telemetry.log(log, "started", instance=loaded.instance)
     stop_signals = signals.StopSignals()
+    stop_signals.on_reload(lambda: _reload(instance))
     await stop_signals.wait(instance.failed)
     telemetry.log(log, "stopping", instance=loaded.instance)
     await stop_signals.stop(instance.stop, instance.kill, log)
@@ -50,6 +52,20 @@
     return 1 if instance.failed.is_set() else 0
 
 
+def _reload(instance: servinginstance.ServingInstance) -> None:
+    """Reads the settings again; a faulty file leaves those in force."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        instance.reload(settings.load(path, instancesettings.InstanceSettings))
+    except settings.SettingsError as error:
+        telemetry.log(
+            logging.getLogger(telemetry.LOGGER_NAME),
+            "settings_refused",
+            level=logging.ERROR,
+            detail=str(error),
+        )
+
+
 def main() -> None:
     """Runs until a stop signal; exits 1 after a fault."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
--- a/carobsail/repeatbudget.py
+++ b/carobsail/repeatbudget.py
@@ -36,6 +36,12 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def change(self, ratio: float, allowance: float, window_s: float) -> None:
+        """Changes the bounds; what was counted is kept."""
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_s = window_s
+
     def count_request(self, now: float) -> None:
         """Counts a caller's request for the service."""
         self._requests.append(now)
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -40,6 +40,9 @@
 ANSWER_MARGIN_S = 0.02
 # Assumed before the order giver has told how many instances there are.
 UNKNOWN_MEMBERS = 16
+# A request that still waits this long before the process ends is refused; one
+# that was sent may need as long for its answer.
+STOP_WAIT_MARGIN_S = 2.0
 # Patience that is assumed of a caller that states none.
 DEFAULT_PATIENCE_S = 30.0
 # Objective from which on a stream yields to those with a shorter one.
@@ -132,6 +135,7 @@
       waiting: Requests that wait for a model or adapter, by name.
       arrivals: Requests by service and model since the start.
       coming: Services and models that are being loaded.
+      stops_at: When the instance ends, or None while it does not stop.
     """
 
     def __init__(
@@ -160,6 +164,7 @@
         self.waiting: dict[tuple[str, str, str], int] = {}
         self.arrivals: dict[tuple[str, str], Arrivals] = {}
         self.coming: set[tuple[str, ...]] = set()
+        self.stops_at: float | None = None
         self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
         self._place = place
@@ -173,6 +178,12 @@
         self._memory = promptmemory.PromptMemory()
         self._changed = asyncio.Event()
 
+    def set_budget(self, terms: BudgetTerms) -> None:
+        """Changes the bound on repeats; what was counted is kept."""
+        self._budget_terms = terms
+        for budget in self._budgets.values():
+            budget.change(terms.ratio, terms.allowance, terms.window_s)
+
     def take_uses(self) -> set[tuple[str, str, str]]:
         """Returns target, model and adapter of sends since the last call."""
         uses, self._uses = self._uses, set()
@@ -346,6 +357,12 @@
                     if want.model in t.held
                 }
             choice = targetchoice.decide(want, targets, pool, self._place, now)
+            if isinstance(choice, targetchoice.Wait) and self.stops_at:
+                # What waits at the end of the process would get no answer.
+                if now > self.stops_at - STOP_WAIT_MARGIN_S:
+                    choice = targetchoice.Refuse(
+                        "instance_stops", targetchoice.MIN_RETRY_S
+                    )
             if isinstance(choice, targetchoice.Send):
                 self._stop_waiting(call)
                 return choice.target
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -89,11 +89,7 @@
             wire,
             self._book,
             targetchoice.Place(loaded.data_centre, loaded.regions),
-            serving.BudgetTerms(
-                loaded.repeat_ratio,
-                loaded.repeat_allowance,
-                loaded.repeat_window_s,
-            ),
+            _budget_terms(loaded),
             self._metrics,
             rng,
         )
@@ -225,6 +221,23 @@
         )
         return True
 
+    def reload(self, loaded: InstanceSettings) -> None:
+        """Takes over settings that may change while the instance runs.
+
+        Names, addresses and ports hold until the next start.
+        """
+        fixed = [
+            name
+            for name in ("instance", "address", "callers_listen", "store")
+            if getattr(loaded, name) != getattr(self._settings, name)
+        ]
+        self._settings = loaded
+        self._serving.set_budget(_budget_terms(loaded))
+        logging.getLogger(telemetry.LOGGER_NAME).setLevel(
+            loaded.log_level.upper()
+        )
+        telemetry.log(_log, "settings_reloaded", needs_restart=",".join(fixed))
+
     async def stop(self) -> None:
         """Stops gracefully: out of the rotation, then without new work."""
         self._draining = True
@@ -232,6 +245,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self._settings.grace_s - KILL_MARGIN_S
         self._callers.announce_drain()
+        self._serving.stops_at = end
         self._start_duty(self._coordination.hand_over())
         await asyncio.sleep(ROTATION_S)
         try:
@@ -251,3 +265,9 @@
         for server in self._servers:
             await server.close()
         return cut
+
+
+def _budget_terms(loaded: InstanceSettings) -> serving.BudgetTerms:
+    return serving.BudgetTerms(
+        loaded.repeat_ratio, loaded.repeat_allowance, loaded.repeat_window_s
+    )
--- a/carobsail/signals.py
+++ b/carobsail/signals.py
@@ -1,4 +1,4 @@
-"""Stop signals: the first one stops gracefully, a second one at once."""
+"""Signals: the first stop is graceful, a second one at once; reload."""
 
 import asyncio
 import logging
@@ -28,6 +28,10 @@
         for number in _SIGNALS:
             loop.add_signal_handler(number, self._received)
 
+    def on_reload(self, reload: Callable[[], None]) -> None:
+        """Calls `reload` at each SIGHUP, which would end the process."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
     def _received(self) -> None:
         (self.second if self.first.is_set() else self.first).set()
 
