Count gains and losses of model moves in requests

Change: one scale for gains and losses, a fast rate beside the slow one, and a model being unloaded is no longer offered.

--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -1,12 +1,19 @@
 """Decides which models the engines load and unload.
 
+All gains and losses are counted in requests, over `HORIZON_S`, so that they
+can be compared: a load gains the requests that wait for the model and those
+that its present copies cannot take; an unload loses the requests that the
+remaining copies cannot take, or that will have to wait for a new load.
+
 Load patterns that the decision answers:
 
 - Demand moves to another model within seconds: copies follow the measured
   demand, so that a model gets its next copy before its engines queue.
 - Many rare models are asked for at once, more than the engines hold: the model
-  with callers waiting takes the place of a surplus copy first, then of the
-  model that was not asked for longest.
+  with callers waiting takes the place of a copy that nobody needs first, then
+  of the model whose callers can best wait for it.
+- The traffic jumps past what all engines can take: copies of the model with
+  the largest shortage go before a rare model with one caller.
 - An engine takes no order for an adapter while it loads a model, for 9 s from
   the store: the loads spread so that each model whose adapters are asked for
   keeps an engine that takes orders.
@@ -15,38 +22,41 @@
 """
 
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping
 
 from carobsail import routetable
 
-# Seconds of an engine that a request takes: 2,400 prompt tokens at 16 to 20 a
-# ms, and its part of the steps.
-REQUEST_WORK_S = 0.17
-# Part of an engine's time that one model's requests may take at one copy.
-TARGET_USE = 0.5
-# A model that was not asked for this long is wanted by nobody.
-IDLE_S = 15.0
-# A last copy that was asked for within this time is not given up.
+# Time over which gains and losses are counted: a load from the store and the
+# time until demand has moved on again.
+HORIZON_S = 10.0
+# Requests a second that one copy takes: a request takes 0.17 s of an engine
+# (2,400 prompt tokens at 16 to 20 a ms, and its part of the steps), and an
+# engine used beyond 0.7 queues for longer than the objectives allow.
+COPY_PER_S = 4.1
+# Demand in requests a second from which a second copy guards against the loss
+# of an engine, and what that is worth in requests.
+SPARE_FROM_PER_S = 0.7
+SPARE_GAIN = 0.5
+# Part of a request's worth that is lost when it waits for a load: all of it if
+# its objective is shorter than a load, little otherwise.
+HURRIED_DAMAGE = 1.0
+PATIENT_DAMAGE = 0.15
+# A model whose last request is `age` seconds old is expected to be asked for
+# again at a rate of 1 / (age + this).
+UNKNOWN_AGE_S = 15.0
+# A copy that has just served would often be loaded again at once.
 RECENT_S = 3.0
-# Demand in requests a second from which a model has two copies, so that the
-# loss of an engine leaves one.
-SPARE_COPY_PER_S = 0.7
-# Seconds of waiting that a load before the next request saves.
-EARLY_LOAD_GAIN_S = 10.0
-# A model is not expected to be asked for by callers in a hurry unless it was,
-# or has adapters; its last copy then counts this much more than one that
-# callers can wait for.
-HURRY_WEIGHT = 5.0
-# Cost of leaving a model at its target use with one copy less, against that of
-# a last copy of a model that callers can wait for, 4 and more.
-OVERLOAD_COST = 12.0
-# Cost of taking the last engine from a model's adapters, for each second of
-# the load and each request a second.
-ADAPTER_BLOCK_COST = 2.0
-# A model keeps a copy beyond its wanted ones while its demand lies above this
-# part of what the copy is for, so that copies do not come and go.
-KEEP_USE = 0.2
+RECENT_LOSS = 2.0
+# Requests for one of a model's adapters that no engine holds yet, as a part of
+# its requests.
+ADAPTER_MISSES = 0.03
+# Cost in requests of each second of a load, of a load from the weight store,
+# which is billed, and of a second copy in the same data centre.
+LOAD_COST_PER_S = 0.03
+STORE_LOAD_COST = 0.3
+SAME_PLACE_COST = 0.05
+# What a load must gain at least, so that copies do not come and go.
+MIN_GAIN = 0.2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,6 +76,9 @@
     objective_s: float = float("inf")
 
 
+_NO_DEMAND = ModelDemand()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineState:
     """An engine as the plan sees it.
@@ -98,22 +111,158 @@
       load: Model to load.
       unload: Models that make room, to be unloaded first.
       from_store: Whether the weights come from the weight store.
+      net: Requests that the move gains, by the plan.
     """
 
     engine: str
     load: str
     unload: tuple[str, ...]
     from_store: bool
-
-
-def wanted_copies(demand: ModelDemand, engines: int, now: float) -> int:
-    """Returns how many copies of a model are wanted."""
-    if demand.waiting == 0 and now - demand.asked_at > IDLE_S:
-        return 0
-    copies = math.ceil(demand.per_s * REQUEST_WORK_S / TARGET_USE)
-    if demand.per_s >= SPARE_COPY_PER_S:
-        copies = max(2, copies)
-    return min(engines, max(1, copies))
+    net: float = 0.0
+
+
+class _Plan:
+    """The state of one planning round."""
+
+    def __init__(
+        self,
+        pool: routetable.EnginePool,
+        states: list[EngineState],
+        demand: Mapping[str, ModelDemand],
+        now: float,
+    ) -> None:
+        self.pool = pool
+        self.states = states
+        self.demand = demand
+        self.now = now
+        self.free = {s.identity: s for s in states if s.free}
+        self.copies: dict[str, int] = {}
+        self.places: dict[str, set[str]] = {}
+        # Free engines by model, which take orders for its adapters.
+        self.open: dict[str, int] = {}
+        for state in states:
+            for model in state.models:
+                self.copies[model] = self.copies.get(model, 0) + 1
+                self.places.setdefault(model, set()).add(state.data_centre)
+                if state.free:
+                    self.open[model] = self.open.get(model, 0) + 1
+
+    def gain(self, name: str) -> float:
+        """Returns the requests that one more copy of a model gains."""
+        known = self.demand.get(name, _NO_DEMAND)
+        copies = self.copies.get(name, 0)
+        if copies == 0:
+            gain = HORIZON_S * min(known.per_s, COPY_PER_S)
+            return known.waiting + gain * self._damage(name)
+        gain = HORIZON_S * (
+            _unserved(known.per_s, copies) - _unserved(known.per_s, copies + 1)
+        )
+        if copies == 1 and known.per_s >= SPARE_FROM_PER_S:
+            gain += SPARE_GAIN
+        return gain
+
+    def loss(self, name: str) -> float:
+        """Returns the requests that one copy less of a model loses."""
+        known = self.demand.get(name, _NO_DEMAND)
+        copies = self.copies.get(name, 0)
+        if copies > 1:
+            loss = HORIZON_S * (
+                _unserved(known.per_s, copies - 1)
+                - _unserved(known.per_s, copies)
+            )
+            if copies == 2 and known.per_s >= SPARE_FROM_PER_S:
+                loss += SPARE_GAIN
+            return loss + 0.05 * known.per_s
+        age_s = self.now - known.asked_at
+        expected = max(known.per_s, 1.0 / (UNKNOWN_AGE_S + age_s))
+        loss = known.waiting + HORIZON_S * expected * self._damage(name)
+        return loss + (RECENT_LOSS if age_s < RECENT_S else 0.0)
+
+    def _damage(self, name: str) -> float:
+        model = self.pool.models[name]
+        objective_s = self.demand.get(name, _NO_DEMAND).objective_s
+        if objective_s < float("inf"):
+            hurried = objective_s < model.disk_load_s
+        else:
+            # Nobody asked for it yet. The models with adapters have the many
+            # users, who mostly wait for a draft on the screen.
+            hurried = model.adapters > 0
+        return HURRIED_DAMAGE if hurried else PATIENT_DAMAGE
+
+    def best_move(self, name: str, store_allowed: bool) -> Move | None:
+        """Returns the best move that brings one more copy of a model."""
+        model = self.pool.models[name]
+        gain = self.gain(name)
+        best: Move | None = None
+        for state in self.free.values():
+            if name in state.models:
+                continue
+            if name in state.in_memory:
+                load_s, from_store = model.memory_load_s, False
+            elif name in state.on_disk:
+                load_s, from_store = model.disk_load_s, False
+            elif store_allowed:
+                load_s, from_store = model.store_load_s, True
+            else:
+                continue
+            room = self._room(state, model)
+            if room is None:
+                continue
+            unload, loss = room
+            cost = loss + load_s * LOAD_COST_PER_S + 0.002 * state.in_flight
+            cost += STORE_LOAD_COST * from_store
+            if state.data_centre in self.places.get(name, ()):
+                cost += SAME_PLACE_COST
+            cost += load_s * ADAPTER_MISSES * self._blocked(state, unload)
+            net = gain - cost
+            if net >= MIN_GAIN and (best is None or net > best.net):
+                best = Move(state.identity, name, unload, from_store, net)
+        return best
+
+    def _blocked(self, state: EngineState, unload: tuple[str, ...]) -> float:
+        """Returns the demand whose adapters no other free engine takes."""
+        blocked = 0.0
+        for name in state.models:
+            if name in unload or not self.pool.models[name].adapters:
+                continue
+            if self.open.get(name, 0) <= 1:
+                known = self.demand.get(name, _NO_DEMAND)
+                blocked += known.per_s + known.waiting
+        return blocked
+
+    def _room(
+        self, state: EngineState, model: routetable.Model
+    ) -> tuple[tuple[str, ...], float] | None:
+        """Returns the models to unload and the loss, or None."""
+        models = self.pool.models
+        if any(name not in models for name in state.models):
+            return None  # The size of what it holds is not known.
+        used = sum(models[name].size_mb for name in state.models)
+        excess = used + model.size_mb - self.pool.memory_mb
+        unload: list[str] = []
+        loss = 0.0
+        if excess > 0:
+            for lost, name in sorted((self.loss(n), n) for n in state.models):
+                unload.append(name)
+                loss += lost
+                excess -= models[name].size_mb
+                if excess <= 0:
+                    break
+        return (tuple(unload), loss) if excess <= 0 else None
+
+    def apply(self, move: Move) -> None:
+        """Takes a move into account for the next ones."""
+        state = self.free.pop(move.engine)
+        for name in state.models:
+            self.open[name] -= 1
+        for name in move.unload:
+            self.copies[name] -= 1
+        self.copies[move.load] = self.copies.get(move.load, 0) + 1
+        self.places.setdefault(move.load, set()).add(state.data_centre)
+
+
+def _unserved(per_s: float, copies: int) -> float:
+    return max(0.0, per_s - copies * COPY_PER_S)
 
 
 def plan(
@@ -133,182 +282,27 @@
       now: Time of the loop's clock in seconds.
 
     Returns:
-      The moves, the most urgent first.
+      The moves, the one with the largest gain first.
     """
-    states = list(engines)
-    copies: dict[str, int] = {}
-    for state in states:
-        for model in state.models:
-            copies[model] = copies.get(model, 0) + 1
-    wanted = {
-        name: wanted_copies(demand.get(name, ModelDemand()), len(states), now)
-        for name in pool.models
-    }
-    missing = [n for n in pool.models if copies.get(n, 0) < wanted[n]]
-    missing.sort(key=lambda n: _urgency(n, copies, wanted, demand))
+    state = _Plan(pool, list(engines), demand, now)
     moves: list[Move] = []
-    free = {state.identity: state for state in states if state.free}
-    for name in missing:
-        move = _place(
-            name, pool, free, states, copies, wanted, demand, now,
-            store_loads_left > 0,
-        )  # fmt: skip
+    # Only models that are asked for can gain.
+    names = [name for name in demand if name in pool.models]
+    while state.free:
+        ranked = sorted(
+            ((state.gain(n), n) for n in names), key=lambda g: (-g[0], g[1])
+        )
+        move = None
+        for gain, name in ranked:
+            if gain < MIN_GAIN:
+                break
+            move = state.best_move(name, store_loads_left > 0)
+            if move is not None:
+                break
+            names.remove(name)
         if move is None:
-            continue
+            return moves
         moves.append(move)
-        del free[move.engine]
         store_loads_left -= move.from_store
-        copies[name] = copies.get(name, 0) + 1
-        for victim in move.unload:
-            copies[victim] -= 1
+        state.apply(move)
     return moves
-
-
-def _urgency(
-    name: str,
-    copies: Mapping[str, int],
-    wanted: Mapping[str, int],
-    demand: Mapping[str, ModelDemand],
-) -> tuple[bool, float]:
-    """Orders missing models: those without a copy first, then by shortage."""
-    present = copies.get(name, 0)
-    known = demand.get(name, ModelDemand())
-    short = known.per_s / max(1, present) + known.waiting
-    return present > 0, -short
-
-
-def _place(
-    name: str,
-    pool: routetable.EnginePool,
-    free: Mapping[str, EngineState],
-    states: list[EngineState],
-    copies: Mapping[str, int],
-    wanted: Mapping[str, int],
-    demand: Mapping[str, ModelDemand],
-    now: float,
-    store_allowed: bool,
-) -> Move | None:
-    """Chooses the engine with the cheapest load and the least loss."""
-    model = pool.models[name]
-    first_copy = copies.get(name, 0) == 0
-    served_there = {s.data_centre for s in states if name in s.models}
-    best: tuple[float, str, Move] | None = None
-    for state in free.values():
-        if name in state.models:
-            continue
-        if name in state.in_memory:
-            load_s, from_store = model.memory_load_s, False
-        elif name in state.on_disk:
-            load_s, from_store = model.disk_load_s, False
-        else:
-            load_s, from_store = model.store_load_s, True
-        if from_store and not store_allowed:
-            continue
-        room = _make_room(
-            state, model, pool, copies, wanted, demand, first_copy, now
-        )
-        if room is None:
-            continue
-        unload, loss_s = room
-        known = demand.get(name, ModelDemand())
-        if not known.waiting and loss_s > EARLY_LOAD_GAIN_S * known.per_s:
-            continue
-        cost = load_s + loss_s + 0.02 * state.in_flight
-        blocked = _blocked_per_s(state, unload, pool, states, demand)
-        if blocked and not first_copy:
-            continue
-        cost += ADAPTER_BLOCK_COST * load_s * blocked
-        if state.data_centre in served_there:
-            cost += 1.0
-        move = Move(state.identity, name, unload, from_store)
-        if best is None or (cost, state.identity) < best[:2]:
-            best = (cost, state.identity, move)
-    return None if best is None else best[2]
-
-
-def _blocked_per_s(
-    state: EngineState,
-    unload: tuple[str, ...],
-    pool: routetable.EnginePool,
-    states: list[EngineState],
-    demand: Mapping[str, ModelDemand],
-) -> float:
-    """Returns the demand whose adapters no other free engine can take."""
-    blocked = 0.0
-    for name in state.models:
-        if name in unload or not pool.models[name].adapters:
-            continue
-        known = demand.get(name)
-        if known is None or not (known.per_s > 0.1 or known.waiting):
-            continue
-        others = (
-            s for s in states if s.free and s is not state and name in s.models
-        )
-        if not any(others):
-            blocked += known.per_s + known.waiting
-    return blocked
-
-
-def _make_room(
-    state: EngineState,
-    model: routetable.Model,
-    pool: routetable.EnginePool,
-    copies: Mapping[str, int],
-    wanted: Mapping[str, int],
-    demand: Mapping[str, ModelDemand],
-    first_copy: bool,
-    now: float,
-) -> tuple[tuple[str, ...], float] | None:
-    """Returns the models to unload and what that costs, or None."""
-    if any(name not in pool.models for name in state.models):
-        return None  # The size of what it holds is not known.
-    used = sum(pool.models[name].size_mb for name in state.models)
-    excess = used + model.size_mb - pool.memory_mb
-    unload: list[str] = []
-    loss_s = 0.0
-    victims = sorted(
-        (
-            _loss_s(pool.models[name], copies, wanted, demand, first_copy, now),
-            name,
-        )
-        for name in state.models
-    )
-    for loss, name in victims:
-        if excess <= 0:
-            break
-        if not math.isfinite(loss):
-            return None
-        unload.append(name)
-        loss_s += loss
-        excess -= pool.models[name].size_mb
-    return (tuple(unload), loss_s) if excess <= 0 else None
-
-
-def _loss_s(
-    model: routetable.Model,
-    copies: Mapping[str, int],
-    wanted: Mapping[str, int],
-    demand: Mapping[str, ModelDemand],
-    first_copy: bool,
-    now: float,
-) -> float:
-    """Returns what unloading a copy costs; infinite if it must stay."""
-    known = demand.get(model.name, ModelDemand())
-    present = copies.get(model.name, 0)
-    if present > 1:
-        use = known.per_s * REQUEST_WORK_S / (present - 1) / TARGET_USE
-        if use > 1.0 - KEEP_USE:
-            # Copies would come and go if the last one left just below.
-            return OVERLOAD_COST * use if first_copy else math.inf
-        if present > wanted[model.name] or first_copy:
-            return known.per_s
-        return math.inf
-    if not first_copy:
-        return math.inf
-    if known.waiting or now - known.asked_at < RECENT_S:
-        return math.inf
-    hurried = known.objective_s < model.disk_load_s or (
-        model.adapters > 0 and math.isinf(known.objective_s)
-    )
-    loss = 4.0 + 10.0 / (1.0 + now - known.asked_at)
-    return loss * (HURRY_WEIGHT if hurried else 1.0)
--- a/carobsail/engineorders.py
+++ b/carobsail/engineorders.py
@@ -206,7 +206,9 @@
 
     def usable(self) -> dict[str, set[str]]:
         """Returns what requests may be sent for."""
+        # An engine lists a model until the last run on it has ended.
         leaving = {o.model for o in self.pending if o.verb is Verb.UNLOAD}
+        leaving.add(self.unloading)
         return {
             model: set(adapters)
             for model, adapters in self.holdings.items()
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -21,8 +21,10 @@
 )
 from carobsail.engineorders import EngineLedger, Order, Verb
 
-# Time constant of the smoothed demand; the users' demand moves in 4 to 6 s.
+# Time constants of the smoothed demand. The users' demand moves in 4 to 6 s,
+# and jumps within one: the fast one shows a rise before the slow one does.
 DEMAND_SMOOTHING_S = 3.0
+FAST_SMOOTHING_S = 1.0
 # Before demand was seen for this long, every model looks idle.
 SETTLE_S = 2.0
 # What an instance said counts for this long after its last summary.
@@ -52,6 +54,7 @@
 @dataclasses.dataclass(slots=True)
 class _Demand:
     per_s: float = 0.0
+    fast_per_s: float = 0.0
     asked_at: float = float("-inf")
     fresh: int = 0
     objective_s: float = float("inf")
@@ -109,9 +112,12 @@
             return
         self._rated_at = now
         keep = math.exp(-elapsed_s / DEMAND_SMOOTHING_S)
+        keep_fast = math.exp(-elapsed_s / FAST_SMOOTHING_S)
         for demand in self._demand.values():
-            demand.per_s *= keep
-            demand.per_s += (1.0 - keep) * demand.fresh / elapsed_s
+            rate = demand.fresh / elapsed_s
+            demand.per_s = keep * demand.per_s + (1.0 - keep) * rate
+            demand.fast_per_s *= keep_fast
+            demand.fast_per_s += (1.0 - keep_fast) * rate
             demand.fresh = 0
 
     def live(self, now: float) -> list[summaries.Summary]:
@@ -145,7 +151,7 @@
         part = 1.0 - math.exp(-max(seen_s, 0.5) / DEMAND_SMOOTHING_S)
         found = {
             model: copyplan.ModelDemand(
-                demand.per_s / part,
+                max(demand.per_s / part, _certain(demand.fast_per_s)),
                 demand.asked_at,
                 waiting.pop(model, 0),
                 demand.objective_s,
@@ -171,6 +177,11 @@
         return totals
 
 
+def _certain(per_s: float) -> float:
+    """Returns the part of a fast rate that chance does not explain."""
+    return max(0.0, per_s - math.sqrt(per_s / FAST_SMOOTHING_S))
+
+
 class OrderGiver:
     """Plans and orders while this instance holds the lease.
 
@@ -511,6 +522,7 @@
                 load=move.load,
                 unload=",".join(move.unload),
                 from_store=move.from_store,
+                net=move.net,
                 per_s=known.per_s,
                 waiting=known.waiting,
             )
