Keep a usable copy while its successor is still loading

Change: losses count usable copies only; models nobody asked for yet have a value; the order lease lasts 3 s instead of 4 s.

--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -41,9 +41,12 @@
 # its objective is shorter than a load, little otherwise.
 HURRIED_DAMAGE = 1.0
 PATIENT_DAMAGE = 0.15
+# Nobody asked for the model yet, so it is not known who will.
+UNKNOWN_DAMAGE = 0.4
 # A model whose last request is `age` seconds old is expected to be asked for
 # again at a rate of 1 / (age + this).
 UNKNOWN_AGE_S = 15.0
+MAX_AGE_S = 30.0
 # A copy that has just served would often be loaded again at once.
 RECENT_S = 3.0
 RECENT_LOSS = 2.0
@@ -91,6 +94,7 @@
       in_memory: Models with a copy in its host memory.
       on_disk: Models with a copy on its disk.
       in_flight: Requests under way.
+      loading: Model of `models` that is not usable yet, or empty.
     """
 
     identity: str
@@ -100,6 +104,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     in_flight: int = 0
+    loading: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -137,12 +142,16 @@
         self.now = now
         self.free = {s.identity: s for s in states if s.free}
         self.copies: dict[str, int] = {}
+        # Copies that requests can use now.
+        self.usable: dict[str, int] = {}
         self.places: dict[str, set[str]] = {}
         # Free engines by model, which take orders for its adapters.
         self.open: dict[str, int] = {}
         for state in states:
             for model in state.models:
                 self.copies[model] = self.copies.get(model, 0) + 1
+                if model != state.loading:
+                    self.usable[model] = self.usable.get(model, 0) + 1
                 self.places.setdefault(model, set()).add(state.data_centre)
                 if state.free:
                     self.open[model] = self.open.get(model, 0) + 1
@@ -164,7 +173,7 @@
     def loss(self, name: str) -> float:
         """Returns the requests that one copy less of a model loses."""
         known = self.demand.get(name, _NO_DEMAND)
-        copies = self.copies.get(name, 0)
+        copies = self.usable.get(name, 0)
         if copies > 1:
             loss = HORIZON_S * (
                 _unserved(known.per_s, copies - 1)
@@ -173,7 +182,7 @@
             if copies == 2 and known.per_s >= SPARE_FROM_PER_S:
                 loss += SPARE_GAIN
             return loss + 0.05 * known.per_s
-        age_s = self.now - known.asked_at
+        age_s = min(MAX_AGE_S, self.now - known.asked_at)
         expected = max(known.per_s, 1.0 / (UNKNOWN_AGE_S + age_s))
         loss = known.waiting + HORIZON_S * expected * self._damage(name)
         return loss + (RECENT_LOSS if age_s < RECENT_S else 0.0)
@@ -183,11 +192,10 @@
         objective_s = self.demand.get(name, _NO_DEMAND).objective_s
         if objective_s < float("inf"):
             hurried = objective_s < model.disk_load_s
-        else:
-            # Nobody asked for it yet. The models with adapters have the many
-            # users, who mostly wait for a draft on the screen.
-            hurried = model.adapters > 0
-        return HURRIED_DAMAGE if hurried else PATIENT_DAMAGE
+            return HURRIED_DAMAGE if hurried else PATIENT_DAMAGE
+        # The models with adapters have the many users, who mostly wait for a
+        # draft on the screen.
+        return HURRIED_DAMAGE if model.adapters else UNKNOWN_DAMAGE
 
     def best_move(self, name: str, store_allowed: bool) -> Move | None:
         """Returns the best move that brings one more copy of a model."""
@@ -257,6 +265,7 @@
             self.open[name] -= 1
         for name in move.unload:
             self.copies[name] -= 1
+            self.usable[name] -= 1
         self.copies[move.load] = self.copies.get(move.load, 0) + 1
         self.places.setdefault(move.load, set()).add(state.data_centre)
 
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -495,6 +495,7 @@
                     ledger.in_memory,
                     ledger.on_disk,
                     load.in_flight if load else 0,
+                    ledger.loading,
                 )
             )
         self._store_loads = [
--- a/carobsail/orderlease.py
+++ b/carobsail/orderlease.py
@@ -18,14 +18,14 @@
 from carobsail import keyvalue
 
 ORDER_GIVER_KEY = "carobsail/order-giver"
-# Long enough to go on through the shorter outages of the store; after the loss
-# of the holder no engine gets an order for this time and the turn.
-LEASE_S = 4.0
-RENEWAL_S = 0.7
+# After the loss of the holder no engine gets an order for this time and the
+# turn; a renewal whose answer is lost can be repeated twice within it.
+LEASE_S = 3.0
+RENEWAL_S = 0.6
 # An order may still be on its way when the right ends.
-STOP_BEFORE_S = 0.5
+STOP_BEFORE_S = 0.4
 # Added to the turn between two holders for an order on its way.
-TURN_MARGIN_S = 0.3
+TURN_MARGIN_S = 0.2
 
 
 class Holder(msgspec.Struct, frozen=True):
