Tell callers the time at which a model will be usable

Cause: callers were held to their deadline for loads that end later, and came back within a third of their time to a model that was still absent.

Change: the order giver tells when a load ends; what ends too late is refused at once with that time; refused callers come back spread.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -454,7 +454,9 @@
             return
         self._board_number = board.number
         self._serving.members = board.members
-        self._serving.coming = set(map(tuple, board.coming))
+        self._serving.coming = {
+            (c.service, c.model): now + c.left_s for c in board.coming
+        }
         for load in board.loads:
             target = self._book.get(load.target)
             if target is None:
@@ -531,7 +533,7 @@
             number=self._number if numbered else 0,
             holdings=holdings,
             loads=loads,
-            coming=self._giver.coming(),
+            coming=self._giver.coming(asyncio.get_running_loop().time()),
             members=len(self._peers) + 1,
         )
 
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -240,18 +240,23 @@
             if ledger.known
         ]
 
-    def coming(self) -> list[tuple[str, str]]:
+    def coming(self, now: float) -> list[summaries.Coming]:
         """Returns the models that are being loaded or planned."""
-        found = []
+        soonest: dict[tuple[str, str], float] = {}
         for ledger in self._ledgers.values():
             target = self._book.get(ledger.identity)
             if target is None:
                 continue
-            names = [o.model for o in ledger.pending if o.verb is Verb.LOAD]
+            left: dict[str, float] = {}
             if ledger.loading:
-                names.append(ledger.loading)
-            found += [(target.entry.service, name) for name in names]
-        return found
+                left[ledger.loading] = max(0.0, ledger.busy_until - now)
+            for order in ledger.pending:
+                if order.verb is Verb.LOAD:
+                    left[order.model] = self._duration_s(ledger, order)
+            for model, left_s in left.items():
+                key = (target.entry.service, model)
+                soonest[key] = min(left_s, soonest.get(key, left_s))
+        return [summaries.Coming(*key, s) for key, s in soonest.items()]
 
     def round(self, table: routetable.RouteTable) -> None:
         """Does what is due now; starts calls and does not wait for them."""
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -43,6 +43,7 @@
 # A request that still waits this long before the process ends is refused; one
 # that was sent may need as long for its answer.
 STOP_WAIT_MARGIN_S = 2.0
+RETRY_SPREAD = 1.3
 # An instance that has just started reads the store within this time.
 START_RETRY_S = 0.4
 # Patience that is assumed of a caller that states none.
@@ -136,7 +137,8 @@
       members: Number of instances known, this one included.
       waiting: Requests that wait for a model or adapter, by name.
       arrivals: Requests by service and model since the start.
-      coming: Services and models that are being loaded.
+      coming: When models that are being loaded will be usable, by service
+        and model.
       stops_at: When the instance ends, or None while it does not stop.
     """
 
@@ -165,7 +167,7 @@
         self.in_flight = 0
         self.waiting: dict[tuple[str, str, str], int] = {}
         self.arrivals: dict[tuple[str, str], Arrivals] = {}
-        self.coming: set[tuple[str, ...]] = set()
+        self.coming: dict[tuple[str, str], float] = {}
         self.stops_at: float | None = None
         self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
@@ -371,10 +373,12 @@
                 self._stop_waiting(call)
                 return choice.target
             if isinstance(choice, targetchoice.Refuse):
+                # Callers that are refused together come back one by one.
+                spread = self._rng.uniform(1.0, RETRY_SPREAD)
                 return _failure(
                     errors.Reason.NO_TARGET,
                     choice.reason,
-                    choice.retry_after_s,
+                    choice.retry_after_s * spread,
                 )
             self._start_waiting(call, choice.reason)
             changed = self._changed
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -87,6 +87,14 @@
     models: dict[str, list[str]]
 
 
+class Coming(msgspec.Struct, array_like=True, frozen=True):
+    """A model that is being loaded and is usable after `left_s` seconds."""
+
+    service: str
+    model: str
+    left_s: float
+
+
 class Board(
     msgspec.Struct, array_like=True, frozen=True, tag="board", kw_only=True
 ):
@@ -98,7 +106,7 @@
       holdings: Engines whose holdings changed, and some others in turn.
       loads: Requests under way at some targets, over all instances; the
         receiver takes off its own.
-      coming: Models that are being loaded, by service.
+      coming: Models that are being loaded.
       members: Instances that sent summaries lately.
     """
 
@@ -106,7 +114,7 @@
     number: int
     holdings: list[Holding]
     loads: list[EngineLoad]
-    coming: list[tuple[str, str]]
+    coming: list[Coming]
     members: int
 
 
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -34,14 +34,20 @@
 OTHER_REGION_S = 0.08
 # Cost in seconds of a target that fails all of its requests.
 FAILING_S = 0.4
-# A caller waits this long for the order giver to plan a load; then no engine
-# has room for the model, and the caller had better come back.
-MAX_UNPLANNED_WAIT_S = 3.0
+# Part of a caller's time that it waits for the order giver to plan a load; then
+# no engine has room for the model, and the caller had better come back.
+UNPLANNED_WAIT = 0.2
+# Part of a caller's time that it waits for an adapter: an engine that loads a
+# model takes no order for one.
+ADAPTER_WAIT = 0.5
 # A target's own statement of its load is used for this long.
 LOAD_VALID_S = 1.0
-# Largest wait in seconds that a caller is asked to accept before its retry.
-MAX_RETRY_S = 2.0
+# Bounds on the time in seconds after which a caller is asked to come back. A
+# load from the store takes 9 s; what comes later is not known.
+MAX_RETRY_S = 10.0
 MIN_RETRY_S = 0.2
+# Model loads that keep an engine from taking adapters end within this time.
+ADAPTER_RETRY_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,7 +80,8 @@
       objective_at: Until when the answer is on time.
       excluded: Identities to which it is not sent again.
       cached_tokens: Prompt tokens that a target still has, by identity.
-      load_coming: Whether the order giver says that the model is coming.
+      load_left_s: Seconds until the model is loaded, as the order giver says;
+        None if it plans no load.
       waited_s: Seconds that it has waited for the model or adapter.
     """
 
@@ -86,7 +93,7 @@
     objective_at: float
     excluded: set[str] = dataclasses.field(default_factory=set)
     cached_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
-    load_coming: bool = False
+    load_left_s: float | None = None
     waited_s: float = 0.0
 
 
@@ -143,7 +150,7 @@
     able = [t for t in targets if t.entry.identity not in want.excluded]
     if pool is not None:
         if want.model and want.model not in pool.models:
-            return Refuse("unknown_model", _retry_s(left_s))
+            return Refuse("unknown_model", MAX_RETRY_S)
         holding = [t for t in able if want.model in t.held]
         if not holding and want.model:
             return _await_load(want, pool, left_s, now)
@@ -167,7 +174,7 @@
     ]
     cost_s, _, best = min(predicted, key=lambda p: p[:2])
     if cost_s > left_s:
-        return Refuse("hopeless", _retry_s(left_s, cost_s - left_s))
+        return Refuse("hopeless", _retry_s(cost_s - left_s))
     return Send(best, cost_s)
 
 
@@ -192,35 +199,36 @@
     want: Want, pool: routetable.EnginePool, left_s: float, now: float
 ) -> Choice:
     model = pool.models[want.model]
-    if want.load_coming:
-        if left_s < FIRST_EVENT_S:
-            return Refuse("model_not_loaded_in_time", _retry_s(left_s))
+    if want.load_left_s is not None:
+        if want.load_left_s + FIRST_EVENT_S > left_s:
+            return Refuse("model_loads_too_late", _retry_s(want.load_left_s))
         return Wait("model", now + min(left_s, 0.5))
     # A copy at hand is the common case; a load from the store may still end
     # in time for callers with a long deadline.
-    if left_s < model.memory_load_s or want.waited_s > MAX_UNPLANNED_WAIT_S:
-        return Refuse("model_absent", _retry_s(left_s, model.disk_load_s))
+    too_long = want.waited_s > UNPLANNED_WAIT * (want.waited_s + left_s)
+    if left_s < model.memory_load_s or too_long:
+        return Refuse("model_absent", _retry_s(model.disk_load_s))
     return Wait("model", now + min(left_s, 0.5))
 
 
 def _await_adapter(want: Want, left_s: float, now: float) -> Choice:
     # An adapter takes some 10 ms once an engine takes orders again.
-    if left_s < FIRST_EVENT_S or want.waited_s > 2.0 * left_s:
-        return Refuse("adapter_absent", _retry_s(left_s))
+    if want.waited_s > ADAPTER_WAIT * (want.waited_s + left_s):
+        return Refuse("adapter_absent", _retry_s(ADAPTER_RETRY_S))
     return Wait("adapter", now + min(left_s, 0.5))
 
 
 def _await_target(able: Sequence[Target], left_s: float, now: float) -> Choice:
     if not able:
         if left_s < 0.5:
-            return Refuse("no_target", _retry_s(left_s))
+            return Refuse("no_target", _retry_s(1.0))
         return Wait("target", now + 0.25)
     ready_s = min(t.paused_until for t in able) - now
     if ready_s > left_s / 2:
-        return Refuse("targets_paused", _retry_s(left_s, ready_s))
+        return Refuse("targets_paused", _retry_s(ready_s))
     return Wait("target", now + ready_s)
 
 
-def _retry_s(left_s: float, room_s: float = MIN_RETRY_S) -> float:
-    """Returns when to come back: when there is room, within a third."""
-    return max(MIN_RETRY_S, min(room_s, left_s / 3.0, MAX_RETRY_S))
+def _retry_s(room_s: float) -> float:
+    """Returns when to come back: when there will be room, by what is known."""
+    return max(MIN_RETRY_S, min(room_s, MAX_RETRY_S))
