Send requests that cannot be on time behind those that can

Change: a generation whose predicted first event misses its objective goes with a lower urgency and does not count for those that can be on time; the prediction is calibrated against the logged times.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -46,6 +46,8 @@
 RELAY_WAIT_S = 0.5
 RELAY_PEERS = 3
 
+_NO_LOAD = summaries.EngineLoad("", 0, 0, 0)
+
 _log = logging.getLogger(__name__)
 
 
@@ -388,7 +390,10 @@
         self._number += 1
         loads = [
             summaries.EngineLoad(
-                t.entry.identity, t.in_flight, int(t.prompt_tokens)
+                t.entry.identity,
+                t.in_flight,
+                int(t.prompt_tokens),
+                int(t.late_tokens),
             )
             for t in self._book.all()
             if t.in_flight
@@ -461,12 +466,13 @@
             target = self._book.get(load.target)
             if target is None:
                 continue
-            own = self._reported.get(load.target)
-            target.others_in_flight = max(
-                0, load.in_flight - (own.in_flight if own else 0)
-            )
+            own = self._reported.get(load.target, _NO_LOAD)
+            target.others_in_flight = max(0, load.in_flight - own.in_flight)
             target.others_prompt_tokens = max(
-                0, load.prompt_tokens - (own.prompt_tokens if own else 0)
+                0, load.prompt_tokens - own.prompt_tokens
+            )
+            target.others_late_tokens = max(
+                0, load.late_tokens - own.late_tokens
             )
             self._told_loads[load.target] = now
 
@@ -489,6 +495,7 @@
                 if target is not None:
                     target.others_in_flight = 0
                     target.others_prompt_tokens = 0
+                    target.others_late_tokens = 0
 
     def _holdings_changed(self, holdings: list[summaries.Holding]) -> None:
         """Tells all instances at once."""
@@ -511,7 +518,7 @@
         self._listed_loads = set(totals)
         loads = [
             *totals.values(),
-            *(summaries.EngineLoad(name, 0, 0) for name in idle),
+            *(summaries.EngineLoad(name, 0, 0, 0) for name in idle),
         ]
         own = self._board(repeated[: len(known)], loads, True)
         self._take_board(own, now)
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -48,6 +48,9 @@
 START_RETRY_S = 0.4
 # Patience that is assumed of a caller that states none.
 DEFAULT_PATIENCE_S = 30.0
+# Classes by which a request that cannot be on time goes behind the others: the
+# ranks of streams on the users' sheets are 0 and 1, two classes apart.
+LATE_URGENCY = 3
 # Objective from which on a stream yields to those with a shorter one.
 PATIENT_OBJECTIVE_S = 5.0
 
@@ -67,6 +70,11 @@
     leaves_at: float
     cursor: eventstream.EventCursor
     targets: list[str] = dataclasses.field(default_factory=list)
+    # Of the last send: predicted and measured seconds to its first event.
+    predicted_s: float = 0.0
+    late: bool = False
+    first_event_s: float | None = None
+    sent_at: float = 0.0
     awaiting: str = ""
     awaiting_since: float = 0.0
     failure: errors.Failure | None = None
@@ -371,6 +379,8 @@
                     )
             if isinstance(choice, targetchoice.Send):
                 self._stop_waiting(call)
+                call.predicted_s = choice.first_s
+                call.late = choice.late
                 return choice.target
             if isinstance(choice, targetchoice.Refuse):
                 # Callers that are refused together come back one by one.
@@ -424,6 +434,8 @@
         loop = asyncio.get_running_loop()
         progress = call.progress
         progress.sends += 1
+        call.sent_at = loop.time()
+        call.first_event_s = None
         call.targets.append(target.entry.identity)
         if call.want.adapter:
             self._uses.add(
@@ -433,16 +445,14 @@
         plan = callerwire.SendPlan(
             target.entry.identity,
             None if call.terms.patience_s is None else left_s,
-            _urgency(progress.route, call.want, loop.time())
-            if call.terms.model
-            else None,
+            _urgency(progress.route, call.late) if call.terms.model else None,
             progress.last_event,
         )
         service = self.table.services.get(call.want.service)  # type: ignore[union-attr]
         pool = self._pools.get(
             target.entry, service.connections if service else 64
         )
-        load = _Load(target, call.want)
+        load = _Load(target, call.want, call.late)
         # Before the first byte is written: if this task is cancelled from now
         # on, the request may have run.
         progress.may_have_run += 1
@@ -553,6 +563,8 @@
                 continue
             if not load.started:
                 load.start()
+                now = asyncio.get_running_loop().time()
+                call.first_event_s = now - call.sent_at
                 self._memory.remember(
                     target.entry.identity,
                     f"{call.want.model}/{call.want.adapter}",
@@ -651,6 +663,9 @@
             outcome=outcome,
             targets=",".join(call.targets),
             sends=call.progress.sends,
+            sent_after_s=call.sent_at - call.arrived_at if call.targets else 0,
+            predicted_s=call.predicted_s,
+            first_event_s=call.first_event_s,
             elapsed_s=elapsed_s,
             objective_s=call.route.objective_s,
             table_version=self.table.version if self.table else 0,
@@ -660,23 +675,30 @@
 class _Load:
     """Counts a request in its target's load until it ends."""
 
-    __slots__ = ("_target", "_tokens", "started")
+    __slots__ = ("_late", "_target", "_tokens", "started")
 
     def __init__(
-        self, target: targetbook.Target, want: targetchoice.Want
+        self, target: targetbook.Target, want: targetchoice.Want, late: bool
     ) -> None:
         cached = want.cached_tokens.get(target.entry.identity, 0)
         self._target = target
+        self._late = late
         self._tokens = max(0, want.prompt_tokens - cached)
         self.started = False
         target.in_flight += 1
-        target.prompt_tokens += self._tokens
+        self._add(self._tokens)
+
+    def _add(self, tokens: int) -> None:
+        if self._late:
+            self._target.late_tokens += tokens
+        else:
+            self._target.prompt_tokens += tokens
 
     def start(self) -> None:
         """Records that the prompt was read."""
         if not self.started:
             self.started = True
-            self._target.prompt_tokens -= self._tokens
+            self._add(-self._tokens)
 
     def end(self) -> None:
         """Records the end of the request."""
@@ -684,19 +706,17 @@
         self._target.in_flight -= 1
 
 
-def _urgency(
-    route: routetable.Route, want: targetchoice.Want, now: float
-) -> int:
+def _urgency(route: routetable.Route, late: bool) -> int:
     """Returns the urgency class of a generation, 0 (first) to 9.
 
     Load pattern: when an engine's queue grows past the objectives, a request
-    that is already late loses less by waiting than one that is still on time.
+    that cannot be on time loses less by waiting than one that still can.
     """
     urgency = 2 + 2 * min(2, max(0, route.rank))
     if route.objective_s >= PATIENT_OBJECTIVE_S:
         urgency += 1
-    if now > want.objective_at:
-        urgency += 2
+    if late:
+        urgency += LATE_URGENCY
     return min(9, urgency)
 
 
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -15,12 +15,15 @@
     Attributes:
       target: Identity of the target.
       in_flight: Requests.
-      prompt_tokens: Prompt tokens of those without a first event.
+      prompt_tokens: Prompt tokens of those that can be on time and have no
+        first event yet.
+      late_tokens: Prompt tokens of those that cannot be on time.
     """
 
     target: str
     in_flight: int
     prompt_tokens: int
+    late_tokens: int
 
 
 class Demand(msgspec.Struct, array_like=True, frozen=True):
--- a/carobsail/targetbook.py
+++ b/carobsail/targetbook.py
@@ -73,9 +73,12 @@
       failures: Failures in a row.
       failure_share: Moving share of sends that failed.
       in_flight: Requests of this instance under way.
-      prompt_tokens: Prompt tokens of those that have no first event yet.
+      prompt_tokens: Prompt tokens of those that can be on time and have no
+        first event yet.
+      late_tokens: Prompt tokens of those that cannot be on time.
       others_in_flight: Requests of other instances, from their summaries.
-      others_prompt_tokens: Prompt tokens of those.
+      others_prompt_tokens: Prompt tokens of those, as above.
+      others_late_tokens: Prompt tokens of those, as above.
       held: Models and adapters held, by the order giver or the entry.
       told_at: When the order giver last told them.
       load_running: Running requests as the target last said.
@@ -90,8 +93,10 @@
     failure_share: float = 0.0
     in_flight: int = 0
     prompt_tokens: float = 0.0
+    late_tokens: float = 0.0
     others_in_flight: int = 0
     others_prompt_tokens: float = 0.0
+    others_late_tokens: float = 0.0
     held: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
     told_at: float = float("-inf")
     load_running: int = 0
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -2,9 +2,11 @@
 
 Load patterns that the decision answers:
 
-- A jump of one kind: the least loaded target by predicted time goes first,
-  and a request whose predicted first event comes after its caller has left is
-  refused at once, so that it takes no place of one that can be served.
+- A jump of one kind: the least loaded target by predicted time goes first.
+  Past what the engines can take in time, a queue in order of arrival would make
+  all requests late. A request that can no longer be on time goes behind those
+  that can, and is served when there is room; one whose predicted first event
+  comes after its caller has left is refused at once.
 - A model that no engine holds: the request waits only while a load can end
   before its caller leaves.
 - Equal targets far away: a link between regions is billed and slow, so the
@@ -20,10 +22,10 @@
 
 # Prompt tokens that an engine reads in a second, while it also generates.
 # The users' sheets give 19 to 20 tokens a ms for a prompt alone.
-PROMPT_TOKENS_PER_S = 16_000.0
+PROMPT_TOKENS_PER_S = 18_000.0
 # Seconds that each request under way adds to the first event of another one:
 # a step takes 9 to 10 ms and 0.03 ms more for each request.
-RUNNING_S = 0.004
+RUNNING_S = 0.002
 # Fixed seconds to a first event of an idle engine (users' site files, 18 ms).
 FIRST_EVENT_S = 0.03
 # Seconds of work of a plain request; the users' sheets say 22.5 and 90 ms.
@@ -99,10 +101,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Send:
-    """Send to this target; the first event is predicted after `first_s`."""
+    """Send to this target.
+
+    Attributes:
+      target: The target.
+      first_s: Predicted seconds to its first event.
+      late: Whether it goes behind the requests that can be on time.
+    """
 
     target: Target
     first_s: float
+    late: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -162,24 +171,52 @@
     rested = [t for t in able if t.paused_until <= now]
     if not rested:
         return _await_target(able, left_s, now)
-    predicted = [
-        (
-            first_s(want, t, pool is not None, now)
-            + place.distance_s(t.entry.data_centre)
-            + FAILING_S * t.failure_share,
-            t.entry.identity,
-            t,
-        )
-        for t in rested
+    engine = pool is not None
+    on_time_s, best = _soonest(want, rested, place, engine, False, now)
+    if not engine or now + on_time_s <= want.objective_at:
+        if on_time_s > left_s:
+            return Refuse("hopeless", _retry_s(on_time_s - left_s))
+        return Send(best, on_time_s)
+    late_s, best = _soonest(want, rested, place, engine, True, now)
+    if late_s > left_s:
+        return Refuse("hopeless", _retry_s(late_s - left_s))
+    return Send(best, late_s, True)
+
+
+def _soonest(
+    want: Want,
+    targets: Sequence[Target],
+    place: Place,
+    engine: bool,
+    late: bool,
+    now: float,
+) -> tuple[float, Target]:
+    """Returns the least cost in seconds and its target."""
+    costs = [
+        first_s(want, t, engine, late, now)
+        + place.distance_s(t.entry.data_centre)
+        + FAILING_S * t.failure_share
+        for t in targets
     ]
-    cost_s, _, best = min(predicted, key=lambda p: p[:2])
-    if cost_s > left_s:
-        return Refuse("hopeless", _retry_s(cost_s - left_s))
-    return Send(best, cost_s)
+    cost_s, _, best = min(
+        zip(costs, (t.entry.identity for t in targets), targets, strict=True),
+        key=lambda found: found[:2],
+    )
+    return cost_s, best
+
 
+def first_s(
+    want: Want, target: Target, engine: bool, late: bool, now: float
+) -> float:
+    """Predicts the seconds to a target's first event or whole answer.
 
-def first_s(want: Want, target: Target, engine: bool, now: float) -> float:
-    """Predicts the seconds to a target's first event or whole answer."""
+    Args:
+      want: The request.
+      target: The target.
+      engine: Whether the target is a model engine.
+      late: Whether the request goes behind those that can be on time.
+      now: Time of the loop's clock in seconds.
+    """
     in_flight = target.in_flight + target.others_in_flight
     if now - target.load_at < LOAD_VALID_S:
         told = target.load_running + target.load_waiting
@@ -191,8 +228,10 @@
     cached = want.cached_tokens.get(target.entry.identity, 0)
     tokens = float(max(0, want.prompt_tokens - cached))
     tokens += target.prompt_tokens + target.others_prompt_tokens
+    if late:
+        tokens += target.late_tokens + target.others_late_tokens
     queued_s = tokens / PROMPT_TOKENS_PER_S
-    return FIRST_EVENT_S + queued_s + RUNNING_S * in_flight + 0.1 * waiting
+    return FIRST_EVENT_S + queued_s + RUNNING_S * in_flight + 0.02 * waiting
 
 
 def _await_load(
--- a/tests/test_targetchoice.py
+++ b/tests/test_targetchoice.py
@@ -68,6 +68,21 @@
     assert 0.2 <= choice.retry_after_s <= 10.0
 
 
+def test_request_that_cannot_be_on_time_goes_behind():
+    """A queue in order of arrival made all requests of a jump late."""
+    full = engine(prompt_tokens=40_000.0)
+    choice = decide(generation(), [full], POOL, PLACE, 0.0)
+    assert isinstance(choice, Send) and choice.late
+
+
+def test_late_requests_do_not_delay_one_that_can_be_on_time():
+    """A fresh request waited behind those that had lost their time."""
+    behind = engine(late_tokens=60_000.0)
+    choice = decide(generation(), [behind], POOL, PLACE, 0.0)
+    assert isinstance(choice, Send) and not choice.late
+    assert choice.first_s < 0.5
+
+
 def test_absent_model_waits_only_while_a_load_can_end():
     """Requests were held to their deadline for a load that came too late."""
     empty = Target(engine_entry(models=()))
