Relay the store's changes through the order giver

Change: the order giver polls closely and passes changes on as datagrams; an instance that misses one, or does not hear of a relay in touch with the store within 1.2 s, asks the store itself. Summaries name changed counts only.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -19,6 +19,7 @@
     ordergiver,
     orderlease,
     serving,
+    storemirror,
     summaries,
     targetbook,
     telemetry,
@@ -33,10 +34,13 @@
 NEED_DELAY_S = 0.01
 # Load that the order giver told counts for this long.
 LOAD_TOLD_VALID_S = 2.0
+# Summaries in which a changed count is sent.
+DEMAND_REPEATS = 3
 # Engines whose holdings are told again with each board, in turn.
 REPEATED_HOLDINGS = 4
 # Rows of one datagram, which keeps it below 1,400 bytes.
 MAX_ROWS = 40
+MAX_CHANGE_BYTES = 1200
 # Spreads the instances that try to take the order lease.
 TAKE_SPREAD_S = 0.4
 RETRY_S = 0.3
@@ -102,6 +106,7 @@
         store: keyvalue.KeyValueClient,
         book: targetbook.TargetBook,
         served: serving.Serving,
+        mirror: storemirror.StoreMirror,
         orders: engineorders.OrderPort,
         boot_clock: Callable[[], float],
         metrics: telemetry.Metrics,
@@ -117,6 +122,7 @@
           store: Client of the store.
           book: Targets.
           served: Request path of this instance.
+          mirror: Copy of the store.
           orders: Sends orders to engines.
           boot_clock: Clock that includes the time of a suspended machine.
           metrics: Counters.
@@ -128,6 +134,7 @@
         self._store = store
         self._book = book
         self._serving = served
+        self._mirror = mirror
         self._boot_clock = boot_clock
         self._rng = rng
         self._giver = ordergiver.OrderGiver(
@@ -151,6 +158,7 @@
         self._turn = 0
         self._need_timer: asyncio.TimerHandle | None = None
         self._lease_changed = asyncio.Event()
+        self._told_demand: dict[tuple[str, str], tuple[int, int]] = {}
         self._renewals: dict[int, asyncio.Future[float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
@@ -186,6 +194,7 @@
         """Takes and renews the order lease until cancelled."""
         while True:
             self._lease_changed.clear()
+            self._mirror.relays = bool(self.lease.fence)
             if self.lease.fence:
                 await self._renew()
             elif self.lease.may_take() and not self.stopping:
@@ -351,6 +360,8 @@
         self.stopping = True
         lease = self.lease.lease
         if self.lease.fence:
+            # From now on the others follow the store themselves.
+            self._broadcast([], [], numbered=True)
             self.lease.lose()
             await self._store.revoke_lease(lease)
 
@@ -404,10 +415,7 @@
             incarnation=self._incarnation,
             number=self._number,
             loads=loads,
-            demand=[
-                summaries.Demand(*key, arrived.count, arrived.objective_s)
-                for key, arrived in self._serving.arrivals.items()
-            ],
+            demand=self._changed_demand(),
             needs=[
                 summaries.Need(*key, count)
                 for key, count in self._serving.waiting.items()
@@ -424,6 +432,24 @@
                 summaries.encode(summary), (holder.address, self._port)
             )
 
+    def _changed_demand(self) -> list[summaries.Demand]:
+        """Returns the counts that changed in the last few summaries.
+
+        Counts are cumulative and each is sent several times, because a
+        datagram may be lost; all 305 models of a large fleet would take 4 KB.
+        """
+        rows = []
+        for key, arrived in self._serving.arrivals.items():
+            told, times = self._told_demand.get(key, (0, 0))
+            if told != arrived.count:
+                times = 0
+            if times < DEMAND_REPEATS:
+                self._told_demand[key] = (arrived.count, times + 1)
+                rows.append(
+                    summaries.Demand(*key, arrived.count, arrived.objective_s)
+                )
+        return rows
+
     def _received(self, data: bytes, address: tuple[str, int]) -> None:
         message = summaries.decode(data)
         now = asyncio.get_running_loop().time()
@@ -433,6 +459,16 @@
                 self._giver.take(message, now)
         elif isinstance(message, summaries.Board):
             self._take_board(message, now)
+        elif isinstance(message, summaries.StoreChanges):
+            if message.fence >= self._board_fence:
+                self._mirror.relayed_changes(
+                    [
+                        keyvalue.WatchEvent(c.key, c.value, c.revision)
+                        for c in message.changes
+                    ],
+                    message.before,
+                    message.complete,
+                )
         elif isinstance(message, summaries.RenewalRequest):
             task = asyncio.create_task(self._renew_for(message, address[0]))
             self._tasks.add(task)
@@ -458,6 +494,10 @@
         if board.number <= self._board_number:
             return
         self._board_number = board.number
+        if board.store_age_s < 0.0:
+            self._mirror.relay_ended()
+        elif not self.lease.fence:
+            self._mirror.relayed(board.store_revision, board.store_age_s)
         self._serving.members = board.members
         self._serving.coming = {
             (c.service, c.model): now + c.left_s for c in board.coming
@@ -535,14 +575,57 @@
         numbered: bool,
     ) -> summaries.Board:
         self._number += numbered
+        now = asyncio.get_running_loop().time()
+        age_s = now - self._mirror.contact_at
+        reliable = self._mirror.reachable and not self.stopping
         return summaries.Board(
             fence=self.lease.fence,
             number=self._number if numbered else 0,
             holdings=holdings,
             loads=loads,
-            coming=self._giver.coming(asyncio.get_running_loop().time()),
+            coming=self._giver.coming(now),
             members=len(self._peers) + 1,
+            store_revision=self._mirror.revision,
+            store_age_s=age_s if reliable else -1.0,
+        )
+
+    def relay(self, changes: storemirror.Changes, before: int) -> None:
+        """Tells all instances what changed in the store."""
+        if not self.lease.fence or self._datagrams is None:
+            return
+        rows: list[summaries.Change] = []
+        size = 0
+        for change in changes:
+            length = len(change.key) + len(change.value or b"")
+            if rows and size + length > MAX_CHANGE_BYTES:
+                self._send_changes(rows, before)
+                before, rows, size = rows[-1].revision, [], 0
+            rows.append(
+                summaries.Change(change.key, change.value, change.mod_revision)
+            )
+            size += length
+        if rows:
+            self._send_changes(rows, before)
+
+    def _send_changes(self, rows: list[summaries.Change], before: int) -> None:
+        complete = True
+        if sum(len(r.value or b"") for r in rows) > MAX_CHANGE_BYTES:
+            # One long value, such as the configuration: each instance reads
+            # it from the store.
+            complete = False
+            rows = [msgspec.structs.replace(r, value=None) for r in rows]
+        message = summaries.StoreChanges(
+            fence=self.lease.fence,
+            before=before,
+            changes=rows,
+            complete=complete,
         )
+        self._send_all(summaries.encode(message))
+
+    def _send_all(self, data: bytes) -> None:
+        if self._datagrams is not None:
+            for address, _ in self._peers.values():
+                self._datagrams.send(data, (address, self._port))
 
     def _broadcast(
         self,
@@ -550,8 +633,4 @@
         loads: list[summaries.EngineLoad],
         numbered: bool,
     ) -> None:
-        if self._datagrams is None:
-            return
-        data = summaries.encode(self._board(holdings, loads, numbered))
-        for address, _ in self._peers.values():
-            self._datagrams.send(data, (address, self._port))
+        self._send_all(summaries.encode(self._board(holdings, loads, numbered)))
--- a/carobsail/keyvalue.py
+++ b/carobsail/keyvalue.py
@@ -8,7 +8,7 @@
 import abc
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 
 from carobsail import errors
 
@@ -120,6 +120,26 @@
         and starts a new watch.
         """
 
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> list[WatchEvent] | errors.Failure:
+        """Waits once for changes.
+
+        Args:
+          prefix: Start of the keys.
+          after: Revision after which changes are returned.
+          wait_s: Seconds after which an empty list is returned.
+        """
+        watch = self.watch(prefix, after + 1)
+        try:
+            async with asyncio.timeout(wait_s):
+                return await anext(watch)
+        except TimeoutError:
+            return []
+        finally:
+            if isinstance(watch, AsyncGenerator):
+                await watch.aclose()
+
 
 class MemoryKeyValue(KeyValueClient):
     """Key-value service in memory on the loop's clock.
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -45,10 +45,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Instance:
-    """What one instance said last."""
+    """What one instance said last, and its count of requests by model."""
 
     summary: summaries.Summary
     at: float
+    arrivals: dict[tuple[str, str], int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,25 +83,26 @@
             known is not None
             and known.summary.incarnation == summary.incarnation
         )
+        before: dict[tuple[str, str], int] = {}
         if known is not None and same:
             if summary.number <= known.summary.number:
                 return
-            before = {(d.service, d.model): d.arrivals
-                      for d in known.summary.demand}  # fmt: skip
-        else:
-            before = {}
+            before = known.arrivals
         for entry in summary.demand:
             key = (entry.service, entry.model)
             demand = self._demand.setdefault(key, _Demand())
             demand.objective_s = min(demand.objective_s, entry.objective_s)
-            # What a new instance had received before is not recent demand.
-            fresh = entry.arrivals - before.get(key, 0) if same else 0
+            # What an instance had received before it was first heard, or
+            # before it first named a model, is not recent demand.
+            told = before.get(key, entry.arrivals - 1)
+            fresh = entry.arrivals - told if same else 0
             if fresh > 0:
                 demand.fresh += fresh
                 demand.asked_at = now
                 if self._first_at is None:
                     self._first_at = now
-        self._instances[summary.instance] = _Instance(summary, now)
+            before[key] = entry.arrivals
+        self._instances[summary.instance] = _Instance(summary, now, before)
 
     def rate(self, now: float) -> None:
         """Smooths the demand that came since the last call."""
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -126,24 +126,28 @@
         """See base class; an empty list tells that the store was reached."""
         after = start_revision - 1
         while True:
-            query = {
-                "prefix": prefix,
-                "after": str(after),
-                "waitMs": str(round(WATCH_WAIT_S * 1000)),
-            }
-            result = await self._call(
-                "GET", "/v1/kv-watch", query, wait_s=WATCH_WAIT_S
-            )
-            if isinstance(result, errors.Failure):
-                yield result
-                return
-            status, body = result
-            if status != 200:
-                yield self._refused(status)
-                return
-            events = [_event(event) for event in body["events"]]
-            after = max(after, int(body["currentRev"]))
+            events = await self.changes(prefix, after, WATCH_WAIT_S)
             yield events
+            if isinstance(events, errors.Failure):
+                return
+            after = max([after, *(e.mod_revision for e in events)])
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> list[WatchEvent] | errors.Failure:
+        """See base class."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "waitMs": str(round(wait_s * 1000)),
+        }
+        result = await self._call("GET", "/v1/kv-watch", query, wait_s=wait_s)
+        if isinstance(result, errors.Failure):
+            return result
+        status, body = result
+        if status != 200:
+            return self._refused(status)
+        return [_event(event) for event in body["events"]]
 
     async def _call(
         self,
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -106,6 +106,7 @@
             store,
             self._book,
             self._serving,
+            self._mirror,
             orders,
             boot_clock,
             self._metrics,
@@ -204,8 +205,9 @@
         now = asyncio.get_running_loop().time()
         self._book.store_contact(reachable, now)
 
-    def _apply(self, changes: storemirror.Changes) -> None:
-        """Takes over changes of the store."""
+    def _apply(self, changes: storemirror.Changes, before: int) -> None:
+        """Takes over changes of the store and passes them on."""
+        self._coordination.relay(changes, before)
         now = asyncio.get_running_loop().time()
         changed = False
         # The configuration first: it names the services of the targets.
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -1,7 +1,12 @@
-"""A local copy of the keys of the store, kept by one waiting watch.
+"""A local copy of the keys of the store.
 
 The copy only moves forward: each change is applied once, in the order of its
 revision, and an outage of the store leaves the copy as it is.
+
+One instance, the relay, follows the store closely and tells the others, whose
+calls would grow with instances times changes. An instance that has not heard
+from a relay in touch with the store within `RELAY_VALID_S`, or that missed a
+change, asks the store itself.
 """
 
 import asyncio
@@ -13,6 +18,11 @@
 
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
+# A leaving target must be known within 2.5 s of the store's acknowledgement,
+# also when a connection went silent or the relay was cut off in between.
+WAIT_S = 2.0
+RELAY_WAIT_S = 0.5
+RELAY_VALID_S = 1.2
 
 _log = logging.getLogger(__name__)
 
@@ -27,6 +37,7 @@
         reading.
       reachable: Whether the last call was answered.
       contact_at: When the store last answered.
+      relays: Whether this instance is the relay.
     """
 
     __slots__ = (
@@ -36,8 +47,12 @@
         "_on_contact",
         "_prefix",
         "_rng",
+        "_gap",
+        "_news",
+        "_relayed_until",
         "contact_at",
         "reachable",
+        "relays",
         "revision",
     )
 
@@ -45,7 +60,7 @@
         self,
         client: keyvalue.KeyValueClient,
         prefix: str,
-        on_changes: Callable[[Changes], None],
+        on_changes: Callable[[Changes, int], None],
         on_contact: Callable[[bool], None],
         rng: random.Random,
     ) -> None:
@@ -54,8 +69,9 @@
         Args:
           client: Client of the store.
           prefix: Start of the keys; empty for all.
-          on_changes: Receives changes in order; after a reading of all keys,
-            those that are gone come as deleted.
+          on_changes: Receives changes in order, and the revision before
+            them; after a reading of all keys, those that are gone come as
+            deleted.
           on_contact: Receives whether the store answered, after each call.
           rng: Source of the jitter.
         """
@@ -68,6 +84,10 @@
         self.revision = 0
         self.reachable = False
         self.contact_at = float("-inf")
+        self.relays = False
+        self._relayed_until = float("-inf")
+        self._gap = False
+        self._news = asyncio.Event()
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
@@ -78,18 +98,87 @@
             if not complete:
                 failure = await self._read_all()
                 complete = failure is None
-            if complete:
-                failure = await self._follow()
-                if failure.reason is errors.Reason.STALE_REVISION:
+            elif self._relay_serves():
+                await self._await_relay()
+                continue
+            else:
+                failure = await self._ask_changes()
+                if failure is None:
+                    retry_s = FIRST_RETRY_S
+                elif failure.reason is errors.Reason.STALE_REVISION:
                     complete = False
             if failure is None:
                 continue
-            if self.reachable:
-                retry_s = FIRST_RETRY_S
             self._contact(False, failure)
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2.0)
 
+    def _relay_serves(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return not self.relays and not self._gap and now < self._relayed_until
+
+    async def _await_relay(self) -> None:
+        """Waits while the relay tells what changes."""
+        self._news.clear()
+        try:
+            async with asyncio.timeout_at(self._relayed_until):
+                await self._news.wait()
+        except TimeoutError:
+            # The relay was not heard in time; a timer may be a little early.
+            self._relayed_until = float("-inf")
+
+    async def _ask_changes(self) -> errors.Failure | None:
+        wait_s = RELAY_WAIT_S if self.relays else WAIT_S
+        events = await self._client.changes(self._prefix, self.revision, wait_s)
+        if isinstance(events, errors.Failure):
+            return events
+        self._gap = False
+        self._contact(True)
+        if events:
+            before = self.revision
+            self.revision = max(before, max(e.mod_revision for e in events))
+            self._apply(events, before)
+        return None
+
+    def relayed(self, revision: int, age_s: float) -> None:
+        """Takes over how far the relay is.
+
+        Args:
+          revision: Revision up to which the relay's copy is complete.
+          age_s: Seconds since the store last answered the relay.
+        """
+        now = asyncio.get_running_loop().time()
+        self._relayed_until = now - age_s + RELAY_VALID_S
+        if revision > self.revision:
+            self._gap = True  # A message with changes was lost.
+        self._news.set()
+
+    def relay_ended(self) -> None:
+        """Asks the store again: the relay stops or lost the store."""
+        self._relayed_until = float("-inf")
+        self._news.set()
+
+    def relayed_changes(
+        self, events: Changes, before: int, complete: bool
+    ) -> None:
+        """Takes over changes from the relay.
+
+        Args:
+          events: The changes.
+          before: Revision up to which the copy must be complete.
+          complete: Whether all values are given; else the store is asked.
+        """
+        if not self.revision or not events:
+            return
+        after = max(e.mod_revision for e in events)
+        if before > self.revision or not complete:
+            self._gap = self._gap or after > self.revision
+            self._news.set()
+        elif after > self.revision:
+            own = self.revision
+            self.revision = after
+            self._apply(events, own)
+
     async def _read_all(self) -> errors.Failure | None:
         result = await self._client.range(self._prefix)
         if isinstance(result, errors.Failure):
@@ -112,23 +201,12 @@
             keyvalue.WatchEvent(v.key, v.value, v.mod_revision)
             for v in result.values
         ]
-        self.revision = result.revision
-        self._apply(changes)
+        before, self.revision = self.revision, result.revision
+        self._gap = False
+        self._apply(changes, before)
         return None
 
-    async def _follow(self) -> errors.Failure:
-        async for events in self._client.watch(self._prefix, self.revision + 1):
-            if isinstance(events, errors.Failure):
-                return events
-            self._contact(True)
-            if events:
-                self.revision = max(
-                    self.revision, max(e.mod_revision for e in events)
-                )
-                self._apply(events)
-        raise AssertionError("a watch ends with a failure")
-
-    def _apply(self, events: Changes) -> None:
+    def _apply(self, events: Changes, before: int) -> None:
         fresh = []
         for event in sorted(events, key=lambda e: e.mod_revision):
             known = self._known.get(event.key)
@@ -143,7 +221,7 @@
                 )
             fresh.append(event)
         if fresh:
-            self._on_changes(fresh)
+            self._on_changes(fresh, before)
 
     def snapshot(self) -> list[keyvalue.KeyValue]:
         """Returns the copy, for an instance that cannot reach the store."""
@@ -156,7 +234,8 @@
                 [
                     keyvalue.WatchEvent(v.key, v.value, v.mod_revision)
                     for v in values
-                ]
+                ],
+                0,
             )
 
     def _contact(
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -111,6 +111,9 @@
         receiver takes off its own.
       coming: Models that are being loaded.
       members: Instances that sent summaries lately.
+      store_revision: Revision up to which the order giver knows the store.
+      store_age_s: Seconds since the store last answered it; negative if it
+        does not know.
     """
 
     fence: int
@@ -119,6 +122,34 @@
     loads: list[EngineLoad]
     coming: list[Coming]
     members: int
+    store_revision: int = 0
+    store_age_s: float = -1.0
+
+
+class Change(msgspec.Struct, array_like=True, frozen=True):
+    """A change of a key; `value` is None when it was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class StoreChanges(
+    msgspec.Struct, array_like=True, frozen=True, tag="changes", kw_only=True
+):
+    """Changes of the store, from the order giver.
+
+    Attributes:
+      fence: Fencing number of the order giver.
+      before: Revision before the changes.
+      changes: The changes.
+      complete: Whether all values are given; long ones are left out.
+    """
+
+    fence: int
+    before: int
+    changes: list[Change]
+    complete: bool
 
 
 class RenewalRequest(
@@ -149,7 +180,7 @@
     ttl_s: float
 
 
-Message = Summary | Board | RenewalRequest | RenewalAnswer
+Message = Summary | Board | StoreChanges | RenewalRequest | RenewalAnswer
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -17,8 +17,10 @@
 from carobsail import (
     coordination,
     engineorders,
+    errors,
     keyvalue,
     orderlease,
+    storemirror,
     summaries,
     telemetry,
 )
@@ -36,6 +38,7 @@
         super().__init__()
         self.shared = shared
         self.cut = False
+        self.asked = 0
 
     async def keep_lease(self, lease):
         """See base class."""
@@ -55,6 +58,22 @@
             await asyncio.sleep(3600)
         return await self.shared.transact(compares, writes)
 
+    async def range(self, prefix):
+        """See base class."""
+        if self.cut:
+            await asyncio.sleep(3600)
+        return await self.shared.range(prefix)
+
+    async def changes(self, prefix, after, wait_s):
+        """See base class."""
+        self.asked += 1
+        if self.cut:
+            await asyncio.sleep(wait_s + 1.0)
+            return errors.Failure(
+                errors.Reason.TIMEOUT, errors.Step.KEY_VALUE, "store"
+            )
+        return await self.shared.changes(prefix, after, wait_s)
+
     async def revoke_lease(self, lease):
         """See base class."""
         return await self.shared.revoke_lease(lease)
@@ -111,6 +130,7 @@
         self.parts = []
         self.stores = []
         self.served = []
+        self.seen = []
         self.dead = set()
         self.tasks = []
         loop = asyncio.get_running_loop()
@@ -119,6 +139,16 @@
             served = request_path(
                 table(stream_route(), engines=MODELS), engine_entry()
             )
+            self.seen.append([])
+            mirror = storemirror.StoreMirror(
+                store,
+                "",
+                lambda events, before, n=number: self._changed(
+                    n, events, before
+                ),
+                lambda reachable: None,
+                random.Random(number),
+            )
             part = coordination.Coordination(
                 orderlease.Holder(f"i{number}", f"10.0.0.{number}"),
                 7000,
@@ -127,6 +157,7 @@
                 store,
                 served.book,
                 served,
+                mirror,
                 self.engines,
                 loop.time,
                 telemetry.Metrics(),
@@ -142,15 +173,15 @@
                     asyncio.create_task(part.keep_lease()),
                     asyncio.create_task(part.run_rounds()),
                     asyncio.create_task(part.run_summaries()),
-                    asyncio.create_task(self._watch(number)),
+                    asyncio.create_task(mirror.run()),
                 ]
             )
 
-    async def _watch(self, number):
-        async for events in self.shared.watch("", 1):
-            if not self.stores[number].cut:
-                for event in events:
-                    self.parts[number].observe(event)
+    def _changed(self, number, events, before):
+        for event in events:
+            self.parts[number].observe(event)
+        self.seen[number] += [(e.key, e.value) for e in events]
+        self.parts[number].relay(events, before)
 
     def deliver(self, sender, data, address):
         receiver = int(address[0].rsplit(".", 1)[1])
@@ -309,3 +340,50 @@
     await group.wait_for_holder()
     assert asyncio.get_running_loop().time() - stopped_at < TURN_S + 2.0
     assert first not in group.holders()
+
+
+async def test_followers_hear_changes_without_asking_the_store(group):
+    """Calls grew with instances times changes; they are priced."""
+    (first,) = group.holders()
+    followers = [n for n in range(4) if n != first]
+    asked = [group.stores[n].asked for n in followers]
+    for number in range(20):
+        await group.shared.transact([], [keyvalue.Put(f"k{number}", b"v")])
+        await asyncio.sleep(0.25)
+    for n, before in zip(followers, asked, strict=True):
+        assert group.stores[n].asked - before <= 2
+        assert (f"k{19}", b"v") in group.seen[n]
+
+
+async def test_long_value_is_read_from_the_store(group):
+    """A configuration does not fit into a datagram."""
+    await group.shared.transact([], [keyvalue.Put("big", b"x" * 50_000)])
+    await asyncio.sleep(0.5)
+    for seen in group.seen:
+        assert ("big", b"x" * 50_000) in seen
+
+
+async def test_follower_asks_the_store_when_the_relay_is_cut_off(group):
+    """A relay that hears nothing must not keep others from what changes."""
+    (first,) = group.holders()
+    group.stores[first].cut = True
+    # The call under way is still answered; the bound counts from then.
+    await asyncio.sleep(storemirror.RELAY_WAIT_S)
+    await asyncio.sleep(storemirror.RELAY_VALID_S)
+    await group.shared.transact([], [keyvalue.Put("k", b"v")])
+    await asyncio.sleep(0.2)
+    for number, seen in enumerate(group.seen):
+        assert number == first or ("k", b"v") in seen
+
+
+async def test_follower_that_missed_a_message_asks_the_store(group):
+    """A lost datagram hid a target that left."""
+    (first,) = group.holders()
+    lost = (first + 1) % 4
+    group.dead.add(lost)
+    await group.shared.transact([], [keyvalue.Put("k", b"v")])
+    await asyncio.sleep(0.1)
+    group.dead.discard(lost)
+    assert ("k", b"v") not in group.seen[lost]
+    await asyncio.sleep(1.0)
+    assert ("k", b"v") in group.seen[lost]
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -26,7 +26,11 @@
     store = keyvalue.MemoryKeyValue()
     store.available = False
     mirror = StoreMirror(
-        store, "", seen.extend, lambda _: None, random.Random(1)
+        store,
+        "",
+        lambda events, before: seen.extend(events),
+        lambda _: None,
+        random.Random(1),
     )
     task = asyncio.create_task(
         peersnapshot.adopt(mirror, ["127.0.0.1:9", f"127.0.0.1:{server.port}"])
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -38,7 +38,9 @@
         self.mirror = StoreMirror(
             store,
             "",
-            lambda events: self.seen.extend((e.key, e.value) for e in events),
+            lambda events, before: self.seen.extend(
+                (e.key, e.value) for e in events
+            ),
             self.contacts.append,
             random.Random(1),
         )
