Pass a long value on inside each data centre

Change: the relay names one instance of each data centre that asks the store; the others read from it, compressed, and from the store if it is gone.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -55,6 +56,20 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Peer:
+    """An instance that sent a summary."""
+
+    address: str
+    data_centre: str
+    heard_at: float
+
+
+def _relayed(change: summaries.Change) -> storemirror.RelayedChange:
+    event = keyvalue.WatchEvent(change.key, change.value, change.revision)
+    return storemirror.RelayedChange(event, change.omitted)
+
+
 class Datagrams(asyncio.DatagramProtocol):
     """Datagrams between instances."""
 
@@ -100,7 +115,9 @@
     def __init__(
         self,
         me: orderlease.Holder,
+        data_centre: str,
         port: int,
+        operator_port: int,
         turn_s: float,
         load_window_s: float,
         store: keyvalue.KeyValueClient,
@@ -116,7 +133,9 @@
 
         Args:
           me: This instance.
+          data_centre: Its data centre.
           port: Port of the datagrams, the same on all instances.
+          operator_port: Port of operators and peers, the same on all.
           turn_s: Seconds between the orders of two instances.
           load_window_s: Window in which loads from the store are counted.
           store: Client of the store.
@@ -130,7 +149,9 @@
         """
         self.lease = orderlease.OrderLease(me, turn_s)
         self._me = me
+        self._data_centre = data_centre
         self._port = port
+        self._operator_port = operator_port
         self._store = store
         self._book = book
         self._serving = served
@@ -150,7 +171,7 @@
         self._incarnation = rng.getrandbits(48)
         self._number = 0
         self._reported: dict[str, summaries.EngineLoad] = {}
-        self._peers: dict[str, tuple[str, float]] = {}
+        self._peers: dict[str, _Peer] = {}
         self._board_fence = 0
         self._board_number = 0
         self._told_loads: dict[str, float] = {}
@@ -319,9 +340,9 @@
         data = summaries.encode(
             summaries.RenewalRequest(lease=lease, number=self._number)
         )
-        for address, _ in peers[:RELAY_PEERS]:
+        for peer in peers[:RELAY_PEERS]:
             if self._datagrams is not None:
-                self._datagrams.send(data, (address, self._port))
+                self._datagrams.send(data, (peer.address, self._port))
         return answer
 
     async def _renew_for(
@@ -412,6 +433,7 @@
         self._reported = {load.target: load for load in loads}
         summary = summaries.Summary(
             instance=self._me.instance,
+            data_centre=self._data_centre,
             incarnation=self._incarnation,
             number=self._number,
             loads=loads,
@@ -455,19 +477,18 @@
         now = asyncio.get_running_loop().time()
         if isinstance(message, summaries.Summary):
             if self.lease.fence:
-                self._peers[message.instance] = (address[0], now)
+                self._peers[message.instance] = _Peer(
+                    address[0], message.data_centre, now
+                )
                 self._giver.take(message, now)
         elif isinstance(message, summaries.Board):
             self._take_board(message, now)
         elif isinstance(message, summaries.StoreChanges):
             if message.fence >= self._board_fence:
                 self._mirror.relayed_changes(
-                    [
-                        keyvalue.WatchEvent(c.key, c.value, c.revision)
-                        for c in message.changes
-                    ],
+                    [_relayed(change) for change in message.changes],
                     message.before,
-                    message.complete,
+                    message.source,
                 )
         elif isinstance(message, summaries.RenewalRequest):
             task = asyncio.create_task(self._renew_for(message, address[0]))
@@ -545,8 +566,8 @@
 
     def _send_board(self) -> None:
         now = asyncio.get_running_loop().time()
-        for name, (_, at) in list(self._peers.items()):
-            if now - at > ordergiver.SUMMARY_VALID_S:
+        for name, peer in list(self._peers.items()):
+            if now - peer.heard_at > ordergiver.SUMMARY_VALID_S:
                 del self._peers[name]
         known = self._giver.holdings()
         start = self._turn % max(1, len(known))
@@ -596,36 +617,51 @@
         rows: list[summaries.Change] = []
         size = 0
         for change in changes:
-            length = len(change.key) + len(change.value or b"")
+            value = change.value
+            omitted = len(value or b"") > MAX_CHANGE_BYTES
+            row = summaries.Change(
+                change.key,
+                None if omitted else value,
+                change.mod_revision,
+                omitted,
+            )
+            length = len(row.key) + len(row.value or b"")
             if rows and size + length > MAX_CHANGE_BYTES:
                 self._send_changes(rows, before)
                 before, rows, size = rows[-1].revision, [], 0
-            rows.append(
-                summaries.Change(change.key, change.value, change.mod_revision)
-            )
+            rows.append(row)
             size += length
         if rows:
             self._send_changes(rows, before)
 
     def _send_changes(self, rows: list[summaries.Change], before: int) -> None:
-        complete = True
-        if sum(len(r.value or b"") for r in rows) > MAX_CHANGE_BYTES:
-            # One long value, such as the configuration: each instance reads
-            # it from the store.
-            complete = False
-            rows = [msgspec.structs.replace(r, value=None) for r in rows]
-        message = summaries.StoreChanges(
-            fence=self.lease.fence,
-            before=before,
-            changes=rows,
-            complete=complete,
-        )
-        self._send_all(summaries.encode(message))
+        """Sends changes; one instance of each data centre asks the store."""
+        assert self._datagrams is not None
+        by_place: dict[str, list[_Peer]] = {}
+        for _, peer in sorted(self._peers.items()):
+            by_place.setdefault(peer.data_centre, []).append(peer)
+        for place, peers in by_place.items():
+            if place == self._data_centre:
+                first = ""
+                source = f"{self._me.address}:{self._operator_port}"
+            else:
+                first = peers[0].address
+                source = f"{first}:{self._operator_port}"
+            for peer in peers:
+                message = summaries.StoreChanges(
+                    fence=self.lease.fence,
+                    before=before,
+                    changes=rows,
+                    source="" if peer.address == first else source,
+                )
+                self._datagrams.send(
+                    summaries.encode(message), (peer.address, self._port)
+                )
 
     def _send_all(self, data: bytes) -> None:
         if self._datagrams is not None:
-            for address, _ in self._peers.values():
-                self._datagrams.send(data, (address, self._port))
+            for peer in self._peers.values():
+                self._datagrams.send(data, (peer.address, self._port))
 
     def _broadcast(
         self,
--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -492,8 +492,12 @@
         self._free.release()
 
     def discard(self, connection: _Connection) -> None:
-        """Closes a connection that was in use."""
-        connection.writer.close()
+        """Closes a connection that was in use.
+
+        It is reset: behind a congested link a plain close would reach the
+        server only after all that is still unsent, and it would work on.
+        """
+        connection.writer.transport.abort()
         self._free.release()
 
     def close(self) -> None:
--- a/carobsail/operatorport.py
+++ b/carobsail/operatorport.py
@@ -1,6 +1,7 @@
 """Operator port of a process: health, readiness and state dump."""
 
 import dataclasses
+import urllib.parse
 from collections.abc import Callable
 
 import msgspec
@@ -21,15 +22,15 @@
       healthy: Tells whether all duties of the process run.
       ready: Tells whether the process takes work.
       metrics: Returns counters and histograms as text.
-      snapshot: Returns what is known of the store, for an instance that
-        cannot reach it.
+      snapshot: Returns what is known of the store, or of one key, for an
+        instance that cannot or should not ask the store itself.
     """
 
     dump: Callable[[], dict[str, object]]
     healthy: Callable[[], bool]
     ready: Callable[[], bool]
     metrics: Callable[[], str] = str
-    snapshot: Callable[[], bytes] = bytes
+    snapshot: Callable[[str | None], bytes] = lambda key: b""
 
     async def handle(
         self, request: httpserver.Request, responder: httpserver.Responder
@@ -47,7 +48,9 @@
             case "/metrics":
                 await responder.send(200, _TEXT, self.metrics().encode())
             case "/snapshot":
-                await responder.send(200, _BINARY, self.snapshot())
+                query = urllib.parse.parse_qs(request.query)
+                key = query.get("key", [None])[0]
+                await responder.send(200, _BINARY, self.snapshot(key))
             case _:
                 await responder.send(404, _TEXT, b"not found\n")
 
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import logging
+import urllib.parse
+import zlib
 
 import msgspec
 
@@ -17,6 +19,8 @@
 ASK_AGAIN_S = 0.5
 _CALL_TIMEOUT_S = 1.0
 _SNAPSHOT_BYTES = 67_108_864
+# A configuration shrinks to a fifth in about 3 ms.
+_COMPRESSION = 1
 
 _log = logging.getLogger(__name__)
 
@@ -29,16 +33,16 @@
 
 def encode(values: list[keyvalue.KeyValue]) -> bytes:
     """Returns the bytes of a snapshot."""
-    return msgspec.msgpack.encode(
-        [_Item(v.key, v.value, v.mod_revision) for v in values]
-    )
+    items = [_Item(v.key, v.value, v.mod_revision) for v in values]
+    return zlib.compress(msgspec.msgpack.encode(items), _COMPRESSION)
 
 
 def decode(data: bytes) -> list[keyvalue.KeyValue] | errors.Failure:
     """Returns the values of a snapshot."""
     try:
-        items = msgspec.msgpack.decode(data, type=list[_Item])
-    except msgspec.DecodeError as error:
+        plain = zlib.decompress(data)
+        items = msgspec.msgpack.decode(plain, type=list[_Item])
+    except (msgspec.DecodeError, zlib.error) as error:
         return errors.Failure(
             errors.Reason.INVALID,
             errors.Step.CONFIGURE,
@@ -80,10 +84,35 @@
 
 
 async def _ask(seed: str) -> list[keyvalue.KeyValue] | errors.Failure:
-    pool = httpclient.Pool(seed, 1, _CALL_TIMEOUT_S)
+    return await _read(seed, "/snapshot")
+
+
+async def ask_value(
+    address: str, key: str
+) -> keyvalue.KeyValue | None | errors.Failure:
+    """Reads one value from another instance.
+
+    Args:
+      address: `host:port` of its operators' port.
+      key: The key.
+
+    Returns:
+      The value, None if the instance has none, or a failure.
+    """
+    query = urllib.parse.urlencode({"key": key})
+    values = await _read(address, f"/snapshot?{query}")
+    if isinstance(values, errors.Failure):
+        return values
+    return next((v for v in values if v.key == key), None)
+
+
+async def _read(
+    address: str, path: str
+) -> list[keyvalue.KeyValue] | errors.Failure:
+    pool = httpclient.Pool(address, 1, _CALL_TIMEOUT_S)
     try:
         async with asyncio.timeout(_CALL_TIMEOUT_S):
-            answer = await pool.request("GET", "/snapshot", [], b"")
+            answer = await pool.request("GET", path, [], b"")
             if isinstance(answer, errors.Failure):
                 return answer
             body = await answer.read(_SNAPSHOT_BYTES)
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -96,11 +96,18 @@
             rng,
         )
         self._mirror = storemirror.StoreMirror(
-            store, "", self._apply, self._store_contact, rng
+            store,
+            "",
+            self._apply,
+            self._store_contact,
+            rng,
+            peersnapshot.ask_value,
         )
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
+            loaded.data_centre,
             loaded.first_port,
+            settings.parse_address(loaded.peers_listen)[1],
             loaded.order_turn_ms / 1000.0,
             loaded.load_window_s,
             store,
@@ -136,7 +143,7 @@
             lambda: not self.failed.is_set(),
             lambda: self.ready,
             self._metrics.text,
-            lambda: peersnapshot.encode(self._mirror.snapshot()),
+            self._snapshot,
         )
         for name, listen in (
             ("peers", self._settings.peers_listen),
@@ -173,6 +180,13 @@
         _log.error("duty_ended", exc_info=error)
         self.failed.set()
 
+    def _snapshot(self, key: str | None) -> bytes:
+        """Returns the copy of the store, or of one key, for an instance."""
+        if key is None:
+            return peersnapshot.encode(self._mirror.snapshot())
+        value = self._mirror.value(key)
+        return peersnapshot.encode([value] if value else [])
+
     def _dump(self) -> dict[str, object]:
         """Returns what the instance believes, for operators."""
         table = self._serving.table
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -10,9 +10,10 @@
 """
 
 import asyncio
+import dataclasses
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from carobsail import errors, keyvalue, telemetry
 
@@ -23,10 +24,24 @@
 WAIT_S = 2.0
 RELAY_WAIT_S = 0.5
 RELAY_VALID_S = 1.2
+# An omitted value is asked of another instance for this long, then of the
+# store.
+PEER_VALUE_S = 1.5
 
 _log = logging.getLogger(__name__)
 
 Changes = list[keyvalue.WatchEvent]
+AskPeer = Callable[
+    [str, str], Awaitable[keyvalue.KeyValue | None | errors.Failure]
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayedChange:
+    """A change from the relay; the value is left out if `omitted`."""
+
+    event: keyvalue.WatchEvent
+    omitted: bool = False
 
 
 class StoreMirror:
@@ -41,7 +56,9 @@
     """
 
     __slots__ = (
+        "_ask_peer",
         "_client",
+        "_fetches",
         "_known",
         "_on_changes",
         "_on_contact",
@@ -63,6 +80,7 @@
         on_changes: Callable[[Changes, int], None],
         on_contact: Callable[[bool], None],
         rng: random.Random,
+        ask_peer: AskPeer,
     ) -> None:
         """Creates an empty copy.
 
@@ -74,12 +92,16 @@
             deleted.
           on_contact: Receives whether the store answered, after each call.
           rng: Source of the jitter.
+          ask_peer: Reads a value from another instance, by its `host:port`
+            and key.
         """
         self._client = client
         self._prefix = prefix
         self._on_changes = on_changes
         self._on_contact = on_contact
         self._rng = rng
+        self._ask_peer = ask_peer
+        self._fetches: set[asyncio.Task[None]] = set()
         self._known: dict[str, keyvalue.KeyValue] = {}
         self.revision = 0
         self.reachable = False
@@ -159,25 +181,83 @@
         self._news.set()
 
     def relayed_changes(
-        self, events: Changes, before: int, complete: bool
+        self, changes: list[RelayedChange], before: int, source: str
     ) -> None:
         """Takes over changes from the relay.
 
         Args:
-          events: The changes.
+          changes: The changes, in order.
           before: Revision up to which the copy must be complete.
-          complete: Whether all values are given; else the store is asked.
+          source: `host:port` of an instance that has the omitted values;
+            empty for the store.
         """
-        if not self.revision or not events:
+        if not self.revision or not changes:
             return
-        after = max(e.mod_revision for e in events)
-        if before > self.revision or not complete:
+        after = max(c.event.mod_revision for c in changes)
+        if before > self.revision:
             self._gap = self._gap or after > self.revision
             self._news.set()
         elif after > self.revision:
             own = self.revision
             self.revision = after
-            self._apply(events, own)
+            self._apply([c.event for c in changes if not c.omitted], own)
+            for change in changes:
+                if change.omitted:
+                    self._start_fetch(change.event, source)
+
+    def _start_fetch(self, event: keyvalue.WatchEvent, source: str) -> None:
+        task = asyncio.create_task(self._fetch(event, source))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
+    async def _fetch(self, event: keyvalue.WatchEvent, source: str) -> None:
+        """Reads a long value, from another instance or from the store.
+
+        Load pattern: a configuration of 130 KB changes; if all instances read
+        it from the store, the link between regions takes seconds.
+        """
+        loop = asyncio.get_running_loop()
+        peer_until = loop.time() + PEER_VALUE_S
+        while True:
+            known = self._known.get(event.key)
+            if known is not None and known.mod_revision >= event.mod_revision:
+                return
+            from_peer = bool(source) and loop.time() < peer_until
+            if from_peer:
+                value = await self._ask_peer(source, event.key)
+            else:
+                value = await self._read_value(event.key)
+            if isinstance(value, errors.Failure):
+                telemetry.log(
+                    _log,
+                    "value_not_read",
+                    key=event.key,
+                    peer=value.peer,
+                    reason=str(value.reason),
+                    detail=value.detail,
+                )
+            elif value is None:
+                if not from_peer:
+                    return  # It was deleted; that change comes by itself.
+            elif value.mod_revision >= event.mod_revision:
+                found = keyvalue.WatchEvent(
+                    value.key, value.value, value.mod_revision
+                )
+                self._apply([found], self.revision)
+                return
+            await asyncio.sleep(FIRST_RETRY_S)
+
+    async def _read_value(
+        self, key: str
+    ) -> keyvalue.KeyValue | None | errors.Failure:
+        result = await self._client.range(key)
+        if isinstance(result, errors.Failure):
+            return result
+        return next((v for v in result.values if v.key == key), None)
+
+    def value(self, key: str) -> keyvalue.KeyValue | None:
+        """Returns a value of the copy."""
+        return self._known.get(key)
 
     async def _read_all(self) -> errors.Failure | None:
         result = await self._client.range(self._prefix)
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -66,6 +66,7 @@
 
     Attributes:
       instance: Name of the instance.
+      data_centre: Its data centre.
       incarnation: Start of its process; differs after each restart.
       number: Number of the summary; older ones are ignored.
       loads: Targets with requests under way.
@@ -75,6 +76,7 @@
     """
 
     instance: str
+    data_centre: str
     incarnation: int
     number: int
     loads: list[EngineLoad]
@@ -127,11 +129,19 @@
 
 
 class Change(msgspec.Struct, array_like=True, frozen=True):
-    """A change of a key; `value` is None when it was deleted."""
+    """A change of a key.
+
+    Attributes:
+      key: The key.
+      value: Its value; None when it was deleted.
+      revision: Revision of the change.
+      omitted: Whether the value is too long for a datagram.
+    """
 
     key: str
     value: bytes | None
     revision: int
+    omitted: bool = False
 
 
 class StoreChanges(
@@ -143,13 +153,14 @@
       fence: Fencing number of the order giver.
       before: Revision before the changes.
       changes: The changes.
-      complete: Whether all values are given; long ones are left out.
+      source: `host:port` of an instance from which omitted values are read;
+        empty for the store.
     """
 
     fence: int
     before: int
     changes: list[Change]
-    complete: bool
+    source: str
 
 
 class RenewalRequest(
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -39,6 +39,7 @@
         self.shared = shared
         self.cut = False
         self.asked = 0
+        self.ranges = 0
 
     async def keep_lease(self, lease):
         """See base class."""
@@ -62,6 +63,7 @@
         """See base class."""
         if self.cut:
             await asyncio.sleep(3600)
+        self.ranges += 1
         return await self.shared.range(prefix)
 
     async def changes(self, prefix, after, wait_s):
@@ -131,6 +133,8 @@
         self.stores = []
         self.served = []
         self.seen = []
+        self.mirrors = []
+        self.peer_reads = 0
         self.dead = set()
         self.tasks = []
         loop = asyncio.get_running_loop()
@@ -148,10 +152,14 @@
                 ),
                 lambda reachable: None,
                 random.Random(number),
+                self._ask_peer,
             )
+            self.mirrors.append(mirror)
             part = coordination.Coordination(
                 orderlease.Holder(f"i{number}", f"10.0.0.{number}"),
+                "dc-a" if number < 2 else "dc-b",
                 7000,
+                7001,
                 TURN_S,
                 5.0,
                 store,
@@ -183,6 +191,11 @@
         self.seen[number] += [(e.key, e.value) for e in events]
         self.parts[number].relay(events, before)
 
+    async def _ask_peer(self, address, key):
+        self.peer_reads += 1
+        number = int(address.rpartition(":")[0].rsplit(".", 1)[1])
+        return self.mirrors[number].value(key)
+
     def deliver(self, sender, data, address):
         receiver = int(address[0].rsplit(".", 1)[1])
         if receiver not in self.dead and sender not in self.dead:
@@ -355,12 +368,15 @@
         assert (f"k{19}", b"v") in group.seen[n]
 
 
-async def test_long_value_is_read_from_the_store(group):
-    """A configuration does not fit into a datagram."""
+async def test_long_value_crosses_to_each_data_centre_once(group):
+    """A configuration read by all instances filled the link (CONFIG)."""
+    before = sum(store.ranges for store in group.stores)
     await group.shared.transact([], [keyvalue.Put("big", b"x" * 50_000)])
     await asyncio.sleep(0.5)
     for seen in group.seen:
         assert ("big", b"x" * 50_000) in seen
+    assert sum(store.ranges for store in group.stores) - before == 1
+    assert group.peer_reads >= 2
 
 
 async def test_follower_asks_the_store_when_the_relay_is_cut_off(group):
--- a/tests/test_ordergiver.py
+++ b/tests/test_ordergiver.py
@@ -11,6 +11,7 @@
 def summary(number, demand=(), needs=(), loads=(), instance="i1", born=1):
     return Summary(
         instance=instance,
+        data_centre="dc-a",
         incarnation=born,
         number=number,
         loads=list(loads),
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -19,7 +19,7 @@
         dict,
         lambda: True,
         lambda: True,
-        snapshot=lambda: peersnapshot.encode(known),
+        snapshot=lambda key: peersnapshot.encode(known),
     )
     server = await builders_io.server(port.handle)
     seen = []
@@ -31,6 +31,7 @@
         lambda events, before: seen.extend(events),
         lambda _: None,
         random.Random(1),
+        peersnapshot.ask_value,
     )
     task = asyncio.create_task(
         peersnapshot.adopt(mirror, ["127.0.0.1:9", f"127.0.0.1:{server.port}"])
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -6,7 +6,7 @@
 import pytest
 
 from carobsail import errors, keyvalue
-from carobsail.storemirror import StoreMirror
+from carobsail.storemirror import RelayedChange, StoreMirror
 
 pytestmark = pytest.mark.memory_network
 
@@ -29,6 +29,13 @@
             yield events
 
 
+async def no_peer(address, key):
+    """Answers for an instance that is gone."""
+    return errors.Failure(
+        errors.Reason.CONNECT_FAILED, errors.Step.CONNECT, address
+    )
+
+
 class Followed:
     """A mirror with what it told."""
 
@@ -43,6 +50,7 @@
             ),
             self.contacts.append,
             random.Random(1),
+            no_peer,
         )
         self.task = asyncio.create_task(self.mirror.run())
 
@@ -113,3 +121,22 @@
     followed.mirror.adopt([keyvalue.KeyValue("old", b"x", 1)])
     assert ("old", b"x") != followed.seen[-1]
     followed.task.cancel()
+
+
+async def test_omitted_value_comes_from_the_store_without_the_peer():
+    """The instance that was to pass a long value on is gone."""
+    store = Store()
+    await put(store, "a")
+    followed = Followed(store)
+    await asyncio.sleep(1.0)
+    mirror = followed.mirror
+    before = mirror.revision
+    followed.task.cancel()
+    await put(store, "big", b"x" * 9000)
+    event = keyvalue.WatchEvent("big", None, before + 1)
+    mirror.relayed_changes(
+        [RelayedChange(event, omitted=True)], before, "10.0.0.9:1"
+    )
+    assert mirror.revision == before + 1
+    await asyncio.sleep(3.0)
+    assert followed.seen[-1] == ("big", b"x" * 9000)
