Let a relay recover from a lost history before others ask the store

Change: the relay tells how long ago the store answered it; the others turn to the store when that is too long, and hear the difference when it has read on.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -598,7 +598,6 @@
         self._number += numbered
         now = asyncio.get_running_loop().time()
         age_s = now - self._mirror.contact_at
-        reliable = self._mirror.reachable and not self.stopping
         return summaries.Board(
             fence=self.lease.fence,
             number=self._number if numbered else 0,
@@ -607,7 +606,7 @@
             coming=self._giver.coming(now),
             members=len(self._peers) + 1,
             store_revision=self._mirror.revision,
-            store_age_s=age_s if reliable else -1.0,
+            store_age_s=-1.0 if self.stopping else age_s,
         )
 
     def relay(self, changes: storemirror.Changes, before: int) -> None:
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -176,7 +176,7 @@
         self._news.set()
 
     def relay_ended(self) -> None:
-        """Asks the store again: the relay stops or lost the store."""
+        """Asks the store again: the relay stops."""
         self._relayed_until = float("-inf")
         self._news.set()
 
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -115,7 +115,7 @@
       members: Instances that sent summaries lately.
       store_revision: Revision up to which the order giver knows the store.
       store_age_s: Seconds since the store last answered it; negative if it
-        does not know.
+        stops.
     """
 
     fence: int
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -38,6 +38,7 @@
         super().__init__()
         self.shared = shared
         self.cut = False
+        self.compact = False
         self.asked = 0
         self.ranges = 0
 
@@ -74,6 +75,11 @@
             return errors.Failure(
                 errors.Reason.TIMEOUT, errors.Step.KEY_VALUE, "store"
             )
+        if self.compact:
+            self.compact = False
+            return errors.Failure(
+                errors.Reason.STALE_REVISION, errors.Step.KEY_VALUE, "store"
+            )
         return await self.shared.changes(prefix, after, wait_s)
 
     async def revoke_lease(self, lease):
@@ -403,3 +409,16 @@
     assert ("k", b"v") not in group.seen[lost]
     await asyncio.sleep(1.0)
     assert ("k", b"v") in group.seen[lost]
+
+
+async def test_relay_that_lost_its_history_does_not_start_a_run(group):
+    """All instances read the whole store at once after a compaction."""
+    (first,) = group.holders()
+    asked = [store.ranges for store in group.stores]
+    group.stores[first].compact = True
+    await group.shared.transact([], [keyvalue.Put("k", b"v")])
+    await asyncio.sleep(2.0)
+    for number, seen in enumerate(group.seen):
+        assert ("k", b"v") in seen
+        read = group.stores[number].ranges - asked[number]
+        assert read == (1 if number == first else 0)
