Keep the order giver's messages within a narrow link

Change: long messages are compressed, loads go out less often to many instances, and an instance with a narrow link lets others take the lease.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -39,11 +39,17 @@
 DEMAND_REPEATS = 3
 # Engines whose holdings are told again with each board, in turn.
 REPEATED_HOLDINGS = 4
+# Seconds between the loads of all targets, for each instance that gets them:
+# the holder's own link may take 5 Mbit/s.
+LOADS_S_PER_PEER = 0.015
 # Rows of one datagram, which keeps it below 1,400 bytes.
 MAX_ROWS = 40
 MAX_CHANGE_BYTES = 1200
 # Spreads the instances that try to take the order lease.
 TAKE_SPREAD_S = 0.4
+# The holder's link carries summaries of and boards to all instances: one with a
+# narrow link, or with little processor time, lets the others go first.
+WEAK_WAIT_S = 0.6
 RETRY_S = 0.3
 # The store answers in 4 ms; after this the holder also asks other instances to
 # renew its lease, and waits so long for them.
@@ -115,6 +121,7 @@
     def __init__(
         self,
         me: orderlease.Holder,
+        strong: bool,
         data_centre: str,
         port: int,
         operator_port: int,
@@ -133,6 +140,7 @@
 
         Args:
           me: This instance.
+          strong: Whether it has the link and processor of an order giver.
           data_centre: Its data centre.
           port: Port of the datagrams, the same on all instances.
           operator_port: Port of operators and peers, the same on all.
@@ -149,6 +157,7 @@
         """
         self.lease = orderlease.OrderLease(me, turn_s)
         self._me = me
+        self._strong = strong
         self._data_centre = data_centre
         self._port = port
         self._operator_port = operator_port
@@ -177,6 +186,7 @@
         self._told_loads: dict[str, float] = {}
         self._listed_loads: set[str] = set()
         self._turn = 0
+        self._loads_sent_at = float("-inf")
         self._need_timer: asyncio.TimerHandle | None = None
         self._lease_changed = asyncio.Event()
         self._told_demand: dict[tuple[str, str], tuple[int, int]] = {}
@@ -230,7 +240,8 @@
 
     async def _take(self) -> None:
         if self.lease.holder is None:
-            await asyncio.sleep(self._rng.uniform(0.0, TAKE_SPREAD_S))
+            wait_s = self._rng.uniform(0.0, TAKE_SPREAD_S)
+            await asyncio.sleep(wait_s + (0.0 if self._strong else WEAK_WAIT_S))
             if not self.lease.may_take():
                 return
         sent_at = self._boot_clock()
@@ -583,6 +594,10 @@
         ]
         own = self._board(repeated[: len(known)], loads, True)
         self._take_board(own, now)
+        if now - self._loads_sent_at < LOADS_S_PER_PEER * len(self._peers):
+            loads = []
+        else:
+            self._loads_sent_at = now
         for first in range(0, max(1, len(loads)), MAX_ROWS):
             rows = loads[first : first + MAX_ROWS]
             self._broadcast(
--- a/carobsail/instancesettings.py
+++ b/carobsail/instancesettings.py
@@ -28,6 +28,7 @@
       first_port: First of the ports for datagrams between instances.
       seeds: `host:port` of instances to ask while the store is away.
       store: `host:port` of the platform's store.
+      link_mbps: Bandwidth of the instance's own link.
       grace_s: Seconds between the stop signal and the end of the process.
       drain_ms: Time in ms within which a leaving target gets no more work.
       order_turn_ms: Time in ms that must lie between the orders of two
@@ -51,6 +52,7 @@
     first_port: _Port
     seeds: list[str] = []
     store: str
+    link_mbps: _Positive = 1000.0
     grace_s: _Positive = 8.0
     drain_ms: _Positive = 2500.0
     order_turn_ms: _Positive = 3000.0
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -32,6 +32,8 @@
 # The balancer takes an instance out after two missed questions, one a second;
 # until then new connections still arrive.
 ROTATION_S = 2.3
+# An order giver for 100 instances sends and receives some 3 Mbit/s.
+STRONG_LINK_MBPS = 50.0
 # Time kept back before the end of the grace.
 KILL_MARGIN_S = 0.4
 
@@ -105,6 +107,7 @@
         )
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
+            loaded.link_mbps >= STRONG_LINK_MBPS,
             loaded.data_centre,
             loaded.first_port,
             settings.parse_address(loaded.peers_listen)[1],
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -6,6 +6,8 @@
 states values and no differences.
 """
 
+import zlib
+
 import msgspec
 
 
@@ -197,14 +199,28 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+# Longer messages are compressed: identities repeat much of each other.
+COMPRESS_FROM_BYTES = 300
+_MAX_MESSAGE_BYTES = 65_536
+_PLAIN, _COMPRESSED = b"\0", b"\1"
+
+
 def encode(message: Message) -> bytes:
     """Returns the bytes of a message."""
-    return _encoder.encode(message)
+    data = _encoder.encode(message)
+    if len(data) < COMPRESS_FROM_BYTES:
+        return _PLAIN + data
+    return _COMPRESSED + zlib.compress(data, 1)
 
 
 def decode(data: bytes) -> Message | None:
     """Returns the message, or None if the bytes are none."""
+    form, rest = data[:1], data[1:]
     try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError:
+        if form == _COMPRESSED:
+            rest = zlib.decompressobj().decompress(rest, _MAX_MESSAGE_BYTES)
+        elif form != _PLAIN:
+            return None
+        return _decoder.decode(rest)
+    except (msgspec.DecodeError, zlib.error):
         return None
