Read the relay's copy after a lost history

Change: an instance that lost its place reads the relay's compressed copy if that brings it up to date, and the store else.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -217,6 +217,10 @@
                 holder=holder.instance if holder else "",
                 revision=event.mod_revision,
             )
+        holder = self.lease.holder
+        self._mirror.relay_address = (
+            f"{holder.address}:{self._operator_port}" if holder else ""
+        )
         self._lease_changed.set()
 
     # The order lease.
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -31,17 +31,27 @@
     revision: int
 
 
-def encode(values: list[keyvalue.KeyValue]) -> bytes:
-    """Returns the bytes of a snapshot."""
+class _Snapshot(msgspec.Struct, array_like=True, frozen=True):
+    revision: int
+    items: list[_Item]
+
+
+def encode(revision: int, values: list[keyvalue.KeyValue]) -> bytes:
+    """Returns the bytes of a snapshot.
+
+    Args:
+      revision: Revision up to which the copy is complete.
+      values: The values.
+    """
     items = [_Item(v.key, v.value, v.mod_revision) for v in values]
-    return zlib.compress(msgspec.msgpack.encode(items), _COMPRESSION)
+    data = msgspec.msgpack.encode(_Snapshot(revision, items))
+    return zlib.compress(data, _COMPRESSION)
 
 
-def decode(data: bytes) -> list[keyvalue.KeyValue] | errors.Failure:
-    """Returns the values of a snapshot."""
+def decode(data: bytes) -> keyvalue.RangeResult | errors.Failure:
+    """Returns the revision and values of a snapshot."""
     try:
-        plain = zlib.decompress(data)
-        items = msgspec.msgpack.decode(plain, type=list[_Item])
+        found = msgspec.msgpack.decode(zlib.decompress(data), type=_Snapshot)
     except (msgspec.DecodeError, zlib.error) as error:
         return errors.Failure(
             errors.Reason.INVALID,
@@ -49,7 +59,30 @@
             "snapshot",
             detail=str(error),
         )
-    return [keyvalue.KeyValue(i.key, i.value, i.revision) for i in items]
+    values = (
+        keyvalue.KeyValue(i.key, i.value, i.revision) for i in found.items
+    )
+    return keyvalue.RangeResult(found.revision, tuple(values))
+
+
+class SnapshotPeers(storemirror.Peers):
+    """See base class; reads the operators' port of the other instance."""
+
+    async def read_value(
+        self, address: str, key: str
+    ) -> keyvalue.KeyValue | None | errors.Failure:
+        """See base class."""
+        query = urllib.parse.urlencode({"key": key})
+        found = await _read(address, f"/snapshot?{query}")
+        if isinstance(found, errors.Failure):
+            return found
+        return next((v for v in found.values if v.key == key), None)
+
+    async def read_all(
+        self, address: str
+    ) -> keyvalue.RangeResult | errors.Failure:
+        """See base class."""
+        return await _read(address, "/snapshot")
 
 
 async def adopt(mirror: storemirror.StoreMirror, seeds: list[str]) -> None:
@@ -62,53 +95,30 @@
     await asyncio.sleep(FIRST_ASK_S)
     while not mirror.revision:
         for seed in seeds:
-            values = await _ask(seed)
-            if isinstance(values, errors.Failure):
+            found = await _read(seed, "/snapshot")
+            if isinstance(found, errors.Failure):
                 telemetry.log(
                     _log,
                     "snapshot_not_read",
                     peer=seed,
-                    reason=str(values.reason),
-                    detail=values.detail,
+                    reason=str(found.reason),
+                    detail=found.detail,
                 )
-            elif values:
+            elif found.values:
                 telemetry.log(
                     _log,
                     "snapshot_adopted",
                     peer=seed,
-                    keys=len(values),
-                    revision=max(v.mod_revision for v in values),
+                    keys=len(found.values),
+                    revision=found.revision,
                 )
-                mirror.adopt(values)
+                mirror.adopt(list(found.values))
         await asyncio.sleep(ASK_AGAIN_S)
 
 
-async def _ask(seed: str) -> list[keyvalue.KeyValue] | errors.Failure:
-    return await _read(seed, "/snapshot")
-
-
-async def ask_value(
-    address: str, key: str
-) -> keyvalue.KeyValue | None | errors.Failure:
-    """Reads one value from another instance.
-
-    Args:
-      address: `host:port` of its operators' port.
-      key: The key.
-
-    Returns:
-      The value, None if the instance has none, or a failure.
-    """
-    query = urllib.parse.urlencode({"key": key})
-    values = await _read(address, f"/snapshot?{query}")
-    if isinstance(values, errors.Failure):
-        return values
-    return next((v for v in values if v.key == key), None)
-
-
 async def _read(
     address: str, path: str
-) -> list[keyvalue.KeyValue] | errors.Failure:
+) -> keyvalue.RangeResult | errors.Failure:
     pool = httpclient.Pool(address, 1, _CALL_TIMEOUT_S)
     try:
         async with asyncio.timeout(_CALL_TIMEOUT_S):
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -103,7 +103,7 @@
             self._apply,
             self._store_contact,
             rng,
-            peersnapshot.ask_value,
+            peersnapshot.SnapshotPeers(),
         )
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
@@ -186,9 +186,11 @@
     def _snapshot(self, key: str | None) -> bytes:
         """Returns the copy of the store, or of one key, for an instance."""
         if key is None:
-            return peersnapshot.encode(self._mirror.snapshot())
-        value = self._mirror.value(key)
-        return peersnapshot.encode([value] if value else [])
+            values = self._mirror.snapshot()
+        else:
+            value = self._mirror.value(key)
+            values = [value] if value else []
+        return peersnapshot.encode(self._mirror.revision, values)
 
     def _dump(self) -> dict[str, object]:
         """Returns what the instance believes, for operators."""
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -9,11 +9,12 @@
 change, asks the store itself.
 """
 
+import abc
 import asyncio
 import dataclasses
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from carobsail import errors, keyvalue, telemetry
 
@@ -31,9 +32,6 @@
 _log = logging.getLogger(__name__)
 
 Changes = list[keyvalue.WatchEvent]
-AskPeer = Callable[
-    [str, str], Awaitable[keyvalue.KeyValue | None | errors.Failure]
-]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +42,22 @@
     omitted: bool = False
 
 
+class Peers(abc.ABC):
+    """Reads the copies of other instances, by `host:port`."""
+
+    @abc.abstractmethod
+    async def read_value(
+        self, address: str, key: str
+    ) -> keyvalue.KeyValue | None | errors.Failure:
+        """Reads one value; None if the instance has none."""
+
+    @abc.abstractmethod
+    async def read_all(
+        self, address: str
+    ) -> keyvalue.RangeResult | errors.Failure:
+        """Reads the whole copy."""
+
+
 class StoreMirror:
     """Follows all keys with a prefix.
 
@@ -52,11 +66,11 @@
         reading.
       reachable: Whether the last call was answered.
       contact_at: When the store last answered.
+      relay_address: `host:port` of the relay's copy; empty if not known.
       relays: Whether this instance is the relay.
     """
 
     __slots__ = (
-        "_ask_peer",
         "_client",
         "_fetches",
         "_known",
@@ -66,9 +80,11 @@
         "_rng",
         "_gap",
         "_news",
+        "_peers",
         "_relayed_until",
         "contact_at",
         "reachable",
+        "relay_address",
         "relays",
         "revision",
     )
@@ -80,7 +96,7 @@
         on_changes: Callable[[Changes, int], None],
         on_contact: Callable[[bool], None],
         rng: random.Random,
-        ask_peer: AskPeer,
+        peers: Peers,
     ) -> None:
         """Creates an empty copy.
 
@@ -92,15 +108,15 @@
             deleted.
           on_contact: Receives whether the store answered, after each call.
           rng: Source of the jitter.
-          ask_peer: Reads a value from another instance, by its `host:port`
-            and key.
+          peers: Reads the copies of other instances.
         """
         self._client = client
         self._prefix = prefix
         self._on_changes = on_changes
         self._on_contact = on_contact
         self._rng = rng
-        self._ask_peer = ask_peer
+        self._peers = peers
+        self.relay_address = ""
         self._fetches: set[asyncio.Task[None]] = set()
         self._known: dict[str, keyvalue.KeyValue] = {}
         self.revision = 0
@@ -224,7 +240,7 @@
                 return
             from_peer = bool(source) and loop.time() < peer_until
             if from_peer:
-                value = await self._ask_peer(source, event.key)
+                value = await self._peers.read_value(source, event.key)
             else:
                 value = await self._read_value(event.key)
             if isinstance(value, errors.Failure):
@@ -260,10 +276,13 @@
         return self._known.get(key)
 
     async def _read_all(self) -> errors.Failure | None:
-        result = await self._client.range(self._prefix)
-        if isinstance(result, errors.Failure):
-            return result
-        self._contact(True)
+        result = await self._read_relay()
+        if result is None:
+            read = await self._client.range(self._prefix)
+            if isinstance(read, errors.Failure):
+                return read
+            result = read
+            self._contact(True)
         if result.revision < self.revision:
             return errors.Failure(
                 errors.Reason.STALE_REVISION,
@@ -286,6 +305,32 @@
         self._apply(changes, before)
         return None
 
+    async def _read_relay(self) -> keyvalue.RangeResult | None:
+        """Reads the relay's copy if that brings this one up to date.
+
+        A copy that is not ahead helps only if the relay is in touch with the
+        store; else the store itself is read.
+
+        Load pattern: the store has lost its history and all instances need
+        everything at once, over one link between regions.
+        """
+        if self.relays or not self.revision or not self.relay_address:
+            return None
+        found = await self._peers.read_all(self.relay_address)
+        if isinstance(found, errors.Failure):
+            telemetry.log(
+                _log,
+                "relay_not_read",
+                peer=self.relay_address,
+                reason=str(found.reason),
+                detail=found.detail,
+            )
+            return None
+        in_touch = asyncio.get_running_loop().time() < self._relayed_until
+        if found.revision > self.revision:
+            return found
+        return found if in_touch and found.revision == self.revision else None
+
     def _apply(self, events: Changes, before: int) -> None:
         fresh = []
         for event in sorted(events, key=lambda e: e.mod_revision):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -158,7 +158,7 @@
                 ),
                 lambda reachable: None,
                 random.Random(number),
-                self._ask_peer,
+                Copies(self),
             )
             self.mirrors.append(mirror)
             part = coordination.Coordination(
@@ -198,11 +198,6 @@
         self.seen[number] += [(e.key, e.value) for e in events]
         self.parts[number].relay(events, before)
 
-    async def _ask_peer(self, address, key):
-        self.peer_reads += 1
-        number = int(address.rpartition(":")[0].rsplit(".", 1)[1])
-        return self.mirrors[number].value(key)
-
     def deliver(self, sender, data, address):
         receiver = int(address[0].rsplit(".", 1)[1])
         if receiver not in self.dead and sender not in self.dead:
@@ -233,6 +228,27 @@
                 task.cancel()
 
 
+class Copies(storemirror.Peers):
+    """Reads the copies of the instances of a group."""
+
+    def __init__(self, group):
+        self._group = group
+
+    def _mirror(self, address):
+        self._group.peer_reads += 1
+        number = int(address.rpartition(":")[0].rsplit(".", 1)[1])
+        return self._group.mirrors[number]
+
+    async def read_value(self, address, key):
+        """See base class."""
+        return self._mirror(address).value(key)
+
+    async def read_all(self, address):
+        """See base class."""
+        mirror = self._mirror(address)
+        return keyvalue.RangeResult(mirror.revision, tuple(mirror.snapshot()))
+
+
 class Wire(coordination.Datagrams):
     """Delivers datagrams inside a group."""
 
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -19,7 +19,7 @@
         dict,
         lambda: True,
         lambda: True,
-        snapshot=lambda key: peersnapshot.encode(known),
+        snapshot=lambda key: peersnapshot.encode(7, known),
     )
     server = await builders_io.server(port.handle)
     seen = []
@@ -31,7 +31,7 @@
         lambda events, before: seen.extend(events),
         lambda _: None,
         random.Random(1),
-        peersnapshot.ask_value,
+        peersnapshot.SnapshotPeers(),
     )
     task = asyncio.create_task(
         peersnapshot.adopt(mirror, ["127.0.0.1:9", f"127.0.0.1:{server.port}"])
@@ -46,3 +46,23 @@
     """Bytes of something else must not become a configuration."""
     assert isinstance(peersnapshot.decode(b"\xc1"), errors.Failure)
     assert isinstance(peersnapshot.decode(b"\x01"), errors.Failure)
+
+
+async def test_value_and_copy_of_another_instance():
+    """A long value is read inside the data centre."""
+    known = [keyvalue.KeyValue("op/config", b"x" * 9000, 7)]
+
+    def snapshot(key):
+        values = [v for v in known if key in (None, v.key)]
+        return peersnapshot.encode(9, values)
+
+    port = operatorport.OperatorPort(
+        dict, lambda: True, lambda: True, snapshot=snapshot
+    )
+    server = await builders_io.server(port.handle)
+    peers = peersnapshot.SnapshotPeers()
+    address = f"127.0.0.1:{server.port}"
+    assert await peers.read_value(address, "op/config") == known[0]
+    assert await peers.read_value(address, "other") is None
+    assert (await peers.read_all(address)).revision == 9
+    await server.close()
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -6,7 +6,7 @@
 import pytest
 
 from carobsail import errors, keyvalue
-from carobsail.storemirror import RelayedChange, StoreMirror
+from carobsail.storemirror import Peers, RelayedChange, StoreMirror
 
 pytestmark = pytest.mark.memory_network
 
@@ -29,17 +29,35 @@
             yield events
 
 
-async def no_peer(address, key):
-    """Answers for an instance that is gone."""
-    return errors.Failure(
-        errors.Reason.CONNECT_FAILED, errors.Step.CONNECT, address
-    )
+class GonePeers(Peers):
+    """Instances that are gone."""
+
+    async def read_value(self, address, key):
+        """See base class."""
+        return await self.read_all(address)
+
+    async def read_all(self, address):
+        """See base class."""
+        return errors.Failure(
+            errors.Reason.CONNECT_FAILED, errors.Step.CONNECT, address
+        )
+
+
+class RelayCopy(GonePeers):
+    """A relay whose copy is ahead."""
+
+    def __init__(self, revision, *values):
+        self._found = keyvalue.RangeResult(revision, values)
+
+    async def read_all(self, address):
+        """See base class."""
+        return self._found
 
 
 class Followed:
     """A mirror with what it told."""
 
-    def __init__(self, store):
+    def __init__(self, store, peers=None):
         self.seen = []
         self.contacts = []
         self.mirror = StoreMirror(
@@ -50,7 +68,7 @@
             ),
             self.contacts.append,
             random.Random(1),
-            no_peer,
+            peers or GonePeers(),
         )
         self.task = asyncio.create_task(self.mirror.run())
 
@@ -140,3 +158,34 @@
     assert mirror.revision == before + 1
     await asyncio.sleep(3.0)
     assert followed.seen[-1] == ("big", b"x" * 9000)
+
+
+async def test_instance_that_lost_its_history_reads_the_relay():
+    """After a compaction far instances had the store's copy 5 s later."""
+    store = Store()
+    await put(store, "a")
+    ahead = RelayCopy(50, keyvalue.KeyValue("b", b"v", 49))
+    followed = Followed(store, ahead)
+    await asyncio.sleep(1.0)
+    followed.mirror.relay_address = "10.0.0.1:1"
+    reads = store.calls["range"]
+    store.compact = True
+    await put(store, "c")
+    await asyncio.sleep(0.5)
+    assert followed.seen[-2:] == [("b", b"v"), ("a", None)]
+    assert store.calls["range"] == reads
+    followed.task.cancel()
+
+
+async def test_relay_that_is_behind_is_not_believed():
+    """A copy that is not ahead would be read again and again."""
+    store = Store()
+    await put(store, "a")
+    followed = Followed(store, RelayCopy(1))
+    await asyncio.sleep(1.0)
+    followed.mirror.relay_address = "10.0.0.1:1"
+    store.compact = True
+    await put(store, "c")
+    await asyncio.sleep(3.0)
+    assert followed.seen == [("a", b"v"), ("c", b"v")]
+    followed.task.cancel()
