--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -8,7 +8,7 @@
 import dataclasses
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import cast
 
 import msgspec
@@ -506,10 +506,11 @@
                     message.source,
                 )
         elif isinstance(message, summaries.RenewalRequest):
-            task = asyncio.create_task(self._renew_for(message, address[0]))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._renew_for(message, address[0]))
         elif isinstance(message, summaries.RenewalAnswer):
+            if message.store_revision > self._mirror.revision:
+                source = f"{address[0]}:{self._operator_port}"
+                self._start(self._mirror.catch_up(source))
             renewal = self._renewals.pop(message.number, None)
             if renewal is not None and not renewal.done():
                 renewal.set_result(message.ttl_s)
@@ -521,6 +522,11 @@
                 peer=address[0],
             )
 
+    def _start(self, call: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _take_board(self, board: summaries.Board, now: float) -> None:
         if board.fence < self._board_fence:
             return
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -290,6 +290,11 @@
                 "store",
                 detail=f"revision {result.revision} is before {self.revision}",
             )
+        self._take_all(result)
+        return None
+
+    def _take_all(self, result: keyvalue.RangeResult) -> None:
+        """Takes over a full listing, which shows what is gone as well."""
         listed = {value.key for value in result.values}
         changes = [
             keyvalue.WatchEvent(key, None, result.revision)
@@ -303,7 +308,27 @@
         before, self.revision = self.revision, result.revision
         self._gap = False
         self._apply(changes, before)
-        return None
+
+    async def catch_up(self, address: str) -> None:
+        """Takes over another instance's copy if it is ahead.
+
+        Load pattern: the order giver alone is cut off from the store; its
+        lease goes on with the help of others, and so must its list of targets.
+        """
+        found = await self._peers.read_all(address)
+        if isinstance(found, errors.Failure):
+            telemetry.log(
+                _log, "peer_not_read", peer=address, reason=str(found.reason)
+            )
+        elif self.revision and found.revision > self.revision:
+            telemetry.log(
+                _log,
+                "peer_copy_taken",
+                peer=address,
+                before=self.revision,
+                revision=found.revision,
+            )
+            self._take_all(found)
 
     async def _read_relay(self) -> keyvalue.RangeResult | None:
         """Reads the relay's copy if that brings this one up to date.
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -187,10 +187,12 @@
     Attributes:
       number: Number of the request.
       ttl_s: Seconds for which the lease was renewed; 0 if it had ended.
+      store_revision: Revision up to which the sender knows the store.
     """
 
     number: int
     ttl_s: float
+    store_revision: int = 0
 
 
 Message = Summary | Board | StoreChanges | RenewalRequest | RenewalAnswer
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -444,3 +444,14 @@
         assert ("k", b"v") in seen
         read = group.stores[number].ranges - asked[number]
         assert read == (1 if number == first else 0)
+
+
+async def test_holder_without_the_store_follows_the_others(group):
+    """It gave orders to engines that the store had listed as gone."""
+    (first,) = group.holders()
+    group.stores[first].cut = True
+    await asyncio.sleep(2.0)
+    await group.shared.transact([], [keyvalue.Put("k", b"v")])
+    await asyncio.sleep(3.0)
+    assert group.holders() == [first]
+    assert ("k", b"v") in group.seen[first]
