--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -366,7 +366,11 @@
         """Renews a lease for another instance."""
         ttl_s = await self._store.keep_lease(request.lease)
         if not isinstance(ttl_s, errors.Failure) and self._datagrams:
-            answer = summaries.RenewalAnswer(number=request.number, ttl_s=ttl_s)
+            answer = summaries.RenewalAnswer(
+                number=request.number,
+                ttl_s=ttl_s,
+                store_revision=self._mirror.revision,
+            )
             self._datagrams.send(
                 summaries.encode(answer), (address, self._port)
             )
