Log each send with the inputs of its choice

Cause: the log told the predicted and the measured time of a late answer, but not what the choice of its target was based on.

Change: one line a send with the load known here and of others, and its age.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -560,7 +560,7 @@
             target.others_late_tokens = max(
                 0, load.late_tokens - own.late_tokens
             )
-            self._told_loads[load.target] = now
+            target.others_at = self._told_loads[load.target] = now
 
     def _take_holdings(
         self, holdings: list[summaries.Holding], now: float
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -452,6 +452,23 @@
         pool = self._pools.get(
             target.entry, service.connections if service else 64
         )
+        telemetry.log(
+            _log,
+            "request_sent",
+            request=call.terms.request,
+            target=target.entry.identity,
+            entry_revision=target.entry.revision,
+            table_version=self.table.version,  # type: ignore[union-attr]
+            late=call.late,
+            predicted_s=call.predicted_s,
+            in_flight=target.in_flight,
+            prompt_tokens=target.prompt_tokens,
+            others_in_flight=target.others_in_flight,
+            others_prompt_tokens=target.others_prompt_tokens,
+            others_age_s=loop.time() - target.others_at,
+            failure_share=target.failure_share,
+            resumes_after=progress.last_event,
+        )
         load = _Load(target, call.want, call.late)
         # Before the first byte is written: if this task is cancelled from now
         # on, the request may have run.
--- a/carobsail/targetbook.py
+++ b/carobsail/targetbook.py
@@ -79,6 +79,7 @@
       others_in_flight: Requests of other instances, from their summaries.
       others_prompt_tokens: Prompt tokens of those, as above.
       others_late_tokens: Prompt tokens of those, as above.
+      others_at: When the load of the others was told.
       held: Models and adapters held, by the order giver or the entry.
       told_at: When the order giver last told them.
       load_running: Running requests as the target last said.
@@ -97,6 +98,7 @@
     others_in_flight: int = 0
     others_prompt_tokens: float = 0.0
     others_late_tokens: float = 0.0
+    others_at: float = float("-inf")
     held: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
     told_at: float = float("-inf")
     load_running: int = 0
