--- a/carobsail/instancesettings.py
+++ b/carobsail/instancesettings.py
@@ -30,7 +30,6 @@
       store: `host:port` of the platform's store.
       link_mbps: Bandwidth of the instance's own link.
       grace_s: Seconds between the stop signal and the end of the process.
-      drain_ms: Time in ms within which a leaving target gets no more work.
       order_turn_ms: Time in ms that must lie between the orders of two
         instances to one engine.
       repeat_ratio: Repeated sends for each request, over all instances.
@@ -54,7 +53,6 @@
     store: str
     link_mbps: _Positive = 1000.0
     grace_s: _Positive = 8.0
-    drain_ms: _Positive = 2500.0
     order_turn_ms: _Positive = 3000.0
     repeat_ratio: _NotNegative = 0.2
     repeat_allowance: _NotNegative = 50.0
