Split datagrams, demand and target pools into modules of their own

Change: datagrams, demandbook, targetpools; one place writes the lease's key; the follow-up reads the budget.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -9,11 +9,12 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
-from typing import cast
 
 import msgspec
 
 from carobsail import (
+    datagrams,
+    demandbook,
     engineorders,
     errors,
     keyvalue,
@@ -76,41 +77,6 @@
     return storemirror.RelayedChange(event, change.omitted)
 
 
-class Datagrams(asyncio.DatagramProtocol):
-    """Datagrams between instances."""
-
-    def __init__(
-        self, on_message: Callable[[bytes, tuple[str, int]], None]
-    ) -> None:
-        self._on_message = on_message
-        self._transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """See base class."""
-        # asyncio's own class does not inherit from the abstract one.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """See base class."""
-        self._on_message(data, addr)
-
-    def error_received(self, exc: Exception) -> None:
-        """See base class; an unreachable peer is seen by its silence."""
-        telemetry.log(
-            _log, "datagram_refused", level=logging.DEBUG, detail=str(exc)
-        )
-
-    def send(self, data: bytes, address: tuple[str, int]) -> None:
-        """Sends one datagram, which may be lost."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, address)
-
-    def close(self) -> None:
-        """Closes the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-
 class Coordination:
     """The part of one instance in what all do together.
 
@@ -176,7 +142,7 @@
             load_window_s,
             metrics,
         )
-        self._datagrams: Datagrams | None = None
+        self._datagrams: datagrams.Datagrams | None = None
         self._incarnation = rng.getrandbits(48)
         self._number = 0
         self._reported: dict[str, summaries.EngineLoad] = {}
@@ -198,7 +164,7 @@
         """Opens the socket."""
         loop = asyncio.get_running_loop()
         _, self._datagrams = await loop.create_datagram_endpoint(
-            lambda: Datagrams(self._received),
+            lambda: datagrams.Datagrams(self._received),
             local_addr=(self._me.address, self._port),
         )
 
@@ -257,21 +223,7 @@
         if not self.lease.may_take():
             return
         again = self.lease.holder is not None and self.lease.holder.acting
-        value = msgspec.structs.replace(self._me, acting=again)
-        result = await self._store.transact(
-            [
-                keyvalue.Compare(
-                    orderlease.ORDER_GIVER_KEY, self.lease.key_revision
-                )
-            ],
-            [
-                keyvalue.Put(
-                    orderlease.ORDER_GIVER_KEY,
-                    msgspec.json.encode(value),
-                    lease,
-                )
-            ],
-        )
+        result = await self._write_key(again, lease)
         if isinstance(result, errors.Failure) or not result.succeeded:
             # If it took effect all the same, the watch shows the key.
             await asyncio.sleep(RETRY_S)
@@ -284,6 +236,17 @@
             first_order_in_s=self.lease.first_order_at - self._boot_clock(),
         )
 
+    async def _write_key(
+        self, acting: bool, lease: int
+    ) -> keyvalue.TransactionResult | errors.Failure:
+        """Writes the key with this instance as the holder."""
+        key = orderlease.ORDER_GIVER_KEY
+        value = msgspec.structs.replace(self._me, acting=acting)
+        return await self._store.transact(
+            [keyvalue.Compare(key, self.lease.key_revision)],
+            [keyvalue.Put(key, msgspec.json.encode(value), lease)],
+        )
+
     async def _renew(self) -> None:
         sent_at = self._boot_clock()
         if sent_at >= self.lease.valid_until:
@@ -377,21 +340,7 @@
 
     async def _announce(self) -> None:
         """Lets the key say that orders follow, before the first one."""
-        value = msgspec.structs.replace(self._me, acting=True)
-        result = await self._store.transact(
-            [
-                keyvalue.Compare(
-                    orderlease.ORDER_GIVER_KEY, self.lease.key_revision
-                )
-            ],
-            [
-                keyvalue.Put(
-                    orderlease.ORDER_GIVER_KEY,
-                    msgspec.json.encode(value),
-                    self.lease.lease,
-                )
-            ],
-        )
+        result = await self._write_key(True, self.lease.lease)
         if not isinstance(result, errors.Failure) and result.succeeded:
             self.lease.announced(result.revision)
 
@@ -592,7 +541,7 @@
     def _send_board(self) -> None:
         now = asyncio.get_running_loop().time()
         for name, peer in list(self._peers.items()):
-            if now - peer.heard_at > ordergiver.SUMMARY_VALID_S:
+            if now - peer.heard_at > demandbook.SUMMARY_VALID_S:
                 del self._peers[name]
         known = self._giver.holdings()
         start = self._turn % max(1, len(known))
--- a/carobsail/repeatbudget.py
+++ b/carobsail/repeatbudget.py
@@ -47,8 +47,8 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, members: int, now: float) -> bool:
-        """Takes one repeat if the budget allows it.
+    def left(self, members: int, now: float) -> bool:
+        """Whether the budget allows one more repeat.
 
         Args:
           members: Instances that are known, this one included.
@@ -59,7 +59,11 @@
             self._ratio * len(self._requests)
             + self._allowance / max(MIN_MEMBERS, members)
         )
-        if len(self._repeats) + 1 > allowed:
+        return len(self._repeats) + 1 <= allowed
+
+    def take(self, members: int, now: float) -> bool:
+        """Takes one repeat if the budget allows it; see `left`."""
+        if not self.left(members, now):
             return False
         self._repeats.append(now)
         return True
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -24,6 +24,7 @@
     routetable,
     targetbook,
     targetchoice,
+    targetpools,
     telemetry,
 )
 
@@ -31,11 +32,6 @@
 MAX_ANSWER_BYTES = 4_194_304
 # Answers to requests of others that are read past before ours is given up.
 MAX_EXTRA_ANSWERS = 2
-# A connection that does not open within this time counts as not sent; a link
-# between regions takes 40 ms there and back.
-CONNECT_TIMEOUT_S = 0.4
-# Engines may drop idle connections sooner than they say.
-IDLE_CONNECTION_S = 3.0
 # Time that an answer needs to reach its caller.
 ANSWER_MARGIN_S = 0.02
 # Assumed before the order giver has told how many instances there are.
@@ -86,39 +82,6 @@
         return self.progress.route
 
 
-class Pools:
-    """Connections to targets, one pool for each start of a target."""
-
-    __slots__ = ("_pools",)
-
-    def __init__(self) -> None:
-        self._pools: dict[tuple[str, str], httpclient.Pool] = {}
-
-    def get(self, entry: targetbook.TargetEntry, limit: int) -> httpclient.Pool:
-        """Returns the pool of a target; `limit` bounds its connections."""
-        key = (entry.identity, entry.address)
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = self._pools[key] = httpclient.Pool(
-                entry.address,
-                max(1, limit),
-                CONNECT_TIMEOUT_S,
-                entry.identity,
-                IDLE_CONNECTION_S,
-                accept_unframed=True,
-            )
-        return pool
-
-    def keep_only(self, identities: set[str]) -> None:
-        """Closes the pools of targets that are gone."""
-        for key in [k for k in self._pools if k[0] not in identities]:
-            self._pools.pop(key).close()
-
-    def connects(self) -> int:
-        """Returns the number of connections opened to present targets."""
-        return sum(pool.connects for pool in self._pools.values())
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class BudgetTerms:
     """Bound on repeats over all instances, see `RepeatBudget`."""
@@ -186,7 +149,7 @@
         self._rng = rng
         # Set by what tells the order giver that requests wait.
         self.on_need: Callable[[str, str, str], None] = lambda *_: None
-        self._pools = Pools()
+        self._pools = targetpools.Pools()
         self._memory = promptmemory.PromptMemory()
         self._changed = asyncio.Event()
 
@@ -334,7 +297,9 @@
             if call.failure is None:
                 return
             left_s = call.want.due_at - loop.time()
-            after = followup.decide(call.progress, left_s, True)
+            budget = self._budget(call.want.service)
+            budget_left = budget.left(self.members, loop.time())
+            after = followup.decide(call.progress, left_s, budget_left)
             telemetry.log(
                 _log,
                 "send_failed",
@@ -469,7 +434,7 @@
             failure_share=target.failure_share,
             resumes_after=progress.last_event,
         )
-        load = _Load(target, call.want, call.late)
+        load = targetpools.TargetLoad(target, call.want, call.late)
         # Before the first byte is written: if this task is cancelled from now
         # on, the request may have run.
         progress.may_have_run += 1
@@ -502,7 +467,7 @@
         target: targetbook.Target,
         pool: httpclient.Pool,
         answer: httpclient.Answer | errors.Failure,
-        load: "_Load",
+        load: targetpools.TargetLoad,
     ) -> errors.Failure | None:
         """Checks an answer and passes it on."""
         for _ in range(MAX_EXTRA_ANSWERS + 1):
@@ -567,7 +532,7 @@
         call: _Call,
         target: targetbook.Target,
         answer: httpclient.Answer,
-        load: "_Load",
+        load: targetpools.TargetLoad,
     ) -> errors.Failure | None:
         """Passes whole events on as they arrive."""
         progress = call.progress
@@ -689,40 +654,6 @@
         )
 
 
-class _Load:
-    """Counts a request in its target's load until it ends."""
-
-    __slots__ = ("_late", "_target", "_tokens", "started")
-
-    def __init__(
-        self, target: targetbook.Target, want: targetchoice.Want, late: bool
-    ) -> None:
-        cached = want.cached_tokens.get(target.entry.identity, 0)
-        self._target = target
-        self._late = late
-        self._tokens = max(0, want.prompt_tokens - cached)
-        self.started = False
-        target.in_flight += 1
-        self._add(self._tokens)
-
-    def _add(self, tokens: int) -> None:
-        if self._late:
-            self._target.late_tokens += tokens
-        else:
-            self._target.prompt_tokens += tokens
-
-    def start(self) -> None:
-        """Records that the prompt was read."""
-        if not self.started:
-            self.started = True
-            self._add(-self._tokens)
-
-    def end(self) -> None:
-        """Records the end of the request."""
-        self.start()
-        self._target.in_flight -= 1
-
-
 def _urgency(route: routetable.Route, late: bool) -> int:
     """Returns the urgency class of a generation, 0 (first) to 9.
 
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -4,11 +4,12 @@
 store while that is reachable and goes on with what it knows while it is not.
 """
 
+import abc
 import asyncio
 import dataclasses
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from carobsail import (
     callerwire,
@@ -40,20 +41,20 @@
 _log = logging.getLogger(__name__)
 
 
-class Documents:
+class Documents(abc.ABC):
     """Reads the documents of one deployment's store."""
 
+    @abc.abstractmethod
     def configuration(
         self, event: keyvalue.WatchEvent
     ) -> routetable.RouteTable | None:
         """Returns the configuration of an event, if it is one."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def target(
         self, event: keyvalue.WatchEvent, table: routetable.RouteTable | None
     ) -> targetbook.TargetEntry | str | None:
         """Returns the entry that a target wrote, or its removed identity."""
-        raise NotImplementedError
 
 
 class ServingInstance:
@@ -171,7 +172,7 @@
         self._start_duty(self._coordination.run_rounds())
         self._start_duty(self._coordination.run_summaries())
 
-    def _start_duty(self, duty) -> None:  # type: ignore[no-untyped-def]
+    def _start_duty(self, duty: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(duty)
         task.add_done_callback(self._duty_ended)
         self._tasks.append(task)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -16,6 +16,7 @@
 
 from carobsail import (
     coordination,
+    datagrams,
     engineorders,
     errors,
     keyvalue,
@@ -249,7 +250,7 @@
         return keyvalue.RangeResult(mirror.revision, tuple(mirror.snapshot()))
 
 
-class Wire(coordination.Datagrams):
+class Wire(datagrams.Datagrams):
     """Delivers datagrams inside a group."""
 
     def __init__(self, group, number):
--- a/tests/test_ordergiver.py
+++ b/tests/test_ordergiver.py
@@ -2,8 +2,9 @@
 
 from builders_serving import engine_entry
 
+from carobsail.demandbook import DemandBook
 from carobsail.engineorders import EngineLedger, EngineReport, Order, Verb
-from carobsail.ordergiver import DemandBook, engine_state
+from carobsail.ordergiver import engine_state
 from carobsail.summaries import Demand, EngineLoad, Need, Summary
 from carobsail.targetbook import Target
 
