Report a wrong byte after a chunk at once; avoid silent targets

Targets that answer nothing kept their share of the requests.

A time-out without an answer counts as a failure of its target.

Measured: the example and test_silent_target_is_avoided fail before and pass.

--- a/carobsail/answerbody.py
+++ b/carobsail/answerbody.py
@@ -126,6 +126,9 @@
                 self._bulk = False
                 break
             if len(rest) < end + 2:
+                # A wrong byte after the data is h11's to report, at once: held
+                # back, its error would name bytes that came later.
+                self._bulk = b"\r\n".startswith(rest[end:])
                 break
             if rest[end : end + 2] != b"\r\n":
                 self._bulk = False
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -266,6 +266,7 @@
             async with asyncio.timeout_at(call.want.due_at):
                 await self._try_targets(call)
         except TimeoutError:
+            self._note_silence(call)
             call.failure = errors.Failure(
                 errors.Reason.TIMEOUT,
                 errors.Step.ANSWER,
@@ -280,6 +281,17 @@
         if call.failure is not None:
             await self._end_failed(call, call.failure)
 
+    def _note_silence(self, call: _Call) -> None:
+        """Records that a target left a request without any answer.
+
+        Load pattern: a target accepts requests and answers nothing, while its
+        health check is good; only the time-outs of callers show it.
+        """
+        if call.targets and not call.progress.head_delivered:
+            target = self.book.get(call.targets[-1])
+            if target is not None:
+                target.answered_badly()
+
     async def _try_targets(self, call: _Call) -> None:
         """Sends until an answer was delivered or nothing more may be done."""
         loop = asyncio.get_running_loop()
--- a/tests/test_answerbody.py
+++ b/tests/test_answerbody.py
@@ -2,7 +2,7 @@
 
 import h11
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from carobsail import answerbody
@@ -113,6 +113,14 @@
 
 
 @settings(max_examples=1500, deadline=None)
+@example(
+    [
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"3\r\n\x00\x00\r\n",
+        b"0\r\n\r\n",
+        b"",
+    ]
+)
 @given(answers())
 def test_bulk_reading_equals_h11(pieces):
     """R3: a cut, damaged or crossed answer must not pass as a whole one."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -260,6 +260,19 @@
     assert loop.time() - start < 0.6
 
 
+async def test_silent_target_is_avoided():
+    """A target that answers nothing kept its share of the requests."""
+    silent, sound = await Target(*["hang"] * 9).start(), await Target().start()
+    served = request_path(
+        table(route(timeout_s=0.2, max_targets=1)),
+        silent.entry("t1"),
+        sound.entry("t2", data_centre="dc-b"),
+    )
+    answers = [status(await ask(served)) for _ in range(4)]
+    assert answers[0] == 504
+    assert answers[-1] == 200
+
+
 async def test_caller_that_left_frees_its_target():
     """An engine worked on for nobody (GONE)."""
     target = await Target("hang").start()
