--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -28,8 +28,6 @@
 # Part of the weight store's rate that is used: loads that the holder before
 # began may fall into the same window.
 STORE_RATE_USED = 0.85
-# Largest number of adapter orders under way at all engines.
-MAX_ADAPTER_ORDERS = 64
 
 _log = logging.getLogger(__name__)
 
--- a/carobsail/targetbook.py
+++ b/carobsail/targetbook.py
@@ -195,14 +195,6 @@
         else:
             del self._targets[identity]
 
-    def replace_all(self, entries: list[TargetEntry], now: float) -> None:
-        """Takes over a full listing."""
-        listed = {entry.identity for entry in entries}
-        for entry in entries:
-            self.put(entry, now)
-        for identity in [i for i in self._targets if i not in listed]:
-            self.remove(identity, now)
-
     def _drop_lapsed(self, now: float) -> None:
         if now < self._outage_until:
             return
