Count an adapter's place until its unload is carried out

Cause: an engine answers 202 to the unload of an adapter that runs still use, and carries it out when they end. The order giver took the place for free at once and loaded another adapter into it, beyond the engine's places.

Change: such an adapter keeps its place until a report no longer lists it, and no further adapter is given up for the same room. An adapter that an earlier holder's order brings is looked for again, and an engine that started anew under its identity counts anew.

Three tests failed before.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -58,6 +58,10 @@
 RELAY_WAIT_S = 0.5
 RELAY_PEERS = 3
 
+# A loop that is this late has no processor time, or the machine was stopped;
+# what callers do is then noticed late as well.
+LATE_LOG_S = 0.25
+
 _NO_LOAD = summaries.EngineLoad("", 0, 0, 0)
 
 _log = logging.getLogger(__name__)
@@ -358,8 +362,18 @@
 
     async def run_rounds(self) -> None:
         """Plans and orders while the lease is held, until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            due_at = loop.time() + ordergiver.ROUND_S
             await asyncio.sleep(ordergiver.ROUND_S)
+            late_s = loop.time() - due_at
+            if late_s > LATE_LOG_S:
+                telemetry.log(
+                    _log,
+                    "event_loop_late",
+                    late_s=late_s,
+                    in_flight=self._serving.in_flight,
+                )
             if self._serving.table is not None:
                 self._giver.round(self._serving.table)
 
--- a/carobsail/engineorders.py
+++ b/carobsail/engineorders.py
@@ -108,12 +108,15 @@
       unloading: Model being unloaded, or empty.
       busy_until: When the model order should have ended.
       coming: Adapters on their way, with the time at which they are usable.
+      leaving: Adapters that are unloaded once their last run has ended; until
+        then they take a place.
       used_at: When each adapter was last used or asked for.
       in_memory: Models with a copy in host memory.
       on_disk: Models with a copy on disk.
       retry_at: When the engine may be asked again.
       pending: Model orders that follow, in order.
       in_call: Whether a call to the engine is under way.
+      born: Unix milliseconds of the engine's start; 0 while it is not known.
     """
 
     identity: str
@@ -127,6 +130,7 @@
     coming: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    leaving: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     used_at: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
@@ -135,12 +139,23 @@
     retry_at: float = 0.0
     pending: list[Order] = dataclasses.field(default_factory=list)
     in_call: bool = False
+    born: int = 0
 
     @property
     def busy(self) -> bool:
         """Whether a model order is under way or planned."""
         return bool(self.loading or self.unloading or self.pending)
 
+    @property
+    def unsettled(self) -> bool:
+        """Whether adapters come or go at a time that only the engine knows."""
+        return bool(self.leaving) or 0.0 in self.coming.values()
+
+    def outdated(self, report: EngineReport) -> bool:
+        """Whether a report is older than what is known of this start."""
+        same_start = not self.born or self.born == report.born
+        return self.known and same_start and report.orders < self.orders
+
     def coming_model(self) -> str:
         """Returns the model that is loaded or planned and not yet usable."""
         planned = [o.model for o in self.pending if o.verb is Verb.LOAD]
@@ -153,6 +168,12 @@
         not reported, so the engine is known only after that order has ended.
         """
         before = self.usable()
+        if self.born and report.born != self.born:
+            # The same identity started anew, and holds nothing of before.
+            self.loading = self.unloading = ""
+            self.pending.clear()
+            self.leaving.clear()
+        self.born = report.born
         ours = bool(self.loading or self.unloading)
         self.known = not report.busy or ours
         self.orders = report.orders
@@ -162,6 +183,11 @@
             for model, adapters in report.coming.items()
             for adapter in adapters
         }
+        self.leaving = {
+            (model, adapter)
+            for model, adapter in self.leaving
+            if adapter in self.holdings.get(model, ())
+        }
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
         if not report.busy:
@@ -183,6 +209,9 @@
             else:
                 self.holdings.get(order.model, set()).discard(order.adapter)
                 self.coming.pop(key, None)
+                if verdict is Verdict.ACCEPTED:
+                    # Runs still use it, and it takes its place until they end.
+                    self.leaving.add(key)
         elif verdict is Verdict.HOLDS_ALREADY:
             if order.verb is Verb.LOAD:
                 self.holdings.setdefault(order.model, set())
@@ -207,7 +236,7 @@
         held = {
             (m, a) for m, adapters in self.holdings.items() for a in adapters
         }
-        return held | set(self.coming)
+        return held | set(self.coming) | self.leaving
 
     def usable(self) -> dict[str, set[str]]:
         """Returns what requests may be sent for."""
@@ -215,7 +244,7 @@
         leaving = {o.model for o in self.pending if o.verb is Verb.UNLOAD}
         leaving.add(self.unloading)
         return {
-            model: set(adapters)
+            model: {a for a in adapters if (model, a) not in self.leaving}
             for model, adapters in self.holdings.items()
             if model not in leaving
         }
@@ -236,10 +265,14 @@
     taken = ledger.adapters()
     if key in taken:
         return None
+    if ledger.leaving and len(taken - ledger.leaving) < places:
+        return None  # Room comes when the last run of an adapter has ended.
     if len(taken) < places:
         return Order(Verb.LOAD, model, adapter)
     idle = sorted(
-        (ledger.used_at.get(k, 0.0), k) for k in taken if k not in ledger.coming
+        (ledger.used_at.get(k, 0.0), k)
+        for k in taken
+        if k not in ledger.coming and k not in ledger.leaving
     )
     if not idle or now - idle[0][0] < MIN_STAY_S:
         return None
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -156,10 +156,13 @@
             del self._ledgers[identity]
         for identity, target in present.items():
             ledger = self._ledgers.get(identity)
-            if ledger is None or ledger.address != target.entry.address:
-                self._ledgers[identity] = EngineLedger(
-                    identity, target.entry.address
-                )
+            entry = target.entry
+            if (
+                ledger is None
+                or ledger.address != entry.address
+                or (ledger.born and entry.born > ledger.born)
+            ):
+                self._ledgers[identity] = EngineLedger(identity, entry.address)
 
     def _read_engines(self, now: float) -> None:
         for ledger in self._ledgers.values():
@@ -167,7 +170,7 @@
                 bool(ledger.loading or ledger.unloading)
                 and now >= ledger.busy_until
             )
-            stale = not ledger.known or overdue
+            stale = not ledger.known or overdue or ledger.unsettled
             if stale and not ledger.in_call and now >= ledger.retry_at:
                 self._start(ledger, self._read(ledger))
 
@@ -193,7 +196,7 @@
                 detail=report.detail,
             )
             return
-        if report.orders < ledger.orders and ledger.known:
+        if ledger.outdated(report):
             # A report may be some 100 ms old; the next one will show it.
             return
         if ledger.read(report):
--- a/tests/test_engineorders.py
+++ b/tests/test_engineorders.py
@@ -1,5 +1,7 @@
 """Guards what the order giver believes of an engine."""
 
+import dataclasses
+
 from carobsail.engineorders import (
     ADAPTER_LOAD_S,
     EngineLedger,
@@ -80,6 +82,41 @@
     assert made.usable() == {"m1": set()}
 
 
+def test_adapter_in_use_keeps_its_place_until_its_runs_end():
+    """An engine crashed: its unload had been accepted, not carried out."""
+    made = ledger({"m1": ["a1", "a2"]})
+    order = plan_adapter(made, "m1", "a3", 2, 10.0)
+    made.accepted(order, Verdict.ACCEPTED, 10.0)
+    assert order.adapter not in made.usable()["m1"]
+    assert plan_adapter(made, "m1", "a3", 2, 11.0) is None
+    made.read(report({"m1": ["a1", "a2"]}, orders=1))
+    assert made.unsettled
+    assert plan_adapter(made, "m1", "a3", 2, 12.0) is None
+    made.read(report({"m1": ["a2"]}, orders=1))
+    assert not made.unsettled
+    assert plan_adapter(made, "m1", "a3", 2, 13.0).verb is Verb.LOAD
+
+
+def test_adapter_that_an_earlier_holder_loads_is_looked_for_again():
+    """It stayed on its way for ever, and its requests were refused."""
+    made = EngineLedger("e1", "127.0.0.1:1")
+    made.read(report({"m1": []}, coming={"m1": frozenset({"a1"})}))
+    assert made.unsettled
+    made.read(report({"m1": ["a1"]}))
+    assert not made.unsettled and made.usable() == {"m1": {"a1"}}
+
+
+def test_engine_started_anew_counts_anew():
+    """A restart under the same identity clears holdings and counts."""
+    made = ledger({"m1": []}, orders=4)
+    made.born = 1000
+    made.pending = [Order(Verb.LOAD, "m2")]
+    anew = dataclasses.replace(report({}), born=2000)
+    assert not made.outdated(anew)
+    made.read(anew)
+    assert made.orders == 0 and not made.busy and made.usable() == {}
+
+
 def test_adapter_places_are_not_overfilled():
     """Adapters on their way take places (LIMIT)."""
     made = ledger({"m1": ["a1"]})
