Keep the adapters' part of an engine's memory free

An engine's memory holds weights and adapters together; the plan counted weights only. The test fails without the change.

--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -285,7 +285,7 @@
         if any(name not in models for name in state.models):
             return None  # The size of what it holds is not known.
         used = sum(models[name].size_mb for name in state.models)
-        excess = used + model.size_mb - self.pool.memory_mb
+        excess = used + model.size_mb - self.pool.model_memory_mb
         unload: list[str] = []
         loss = 0.0
         if excess > 0:
--- a/carobsail/platform/documents.py
+++ b/carobsail/platform/documents.py
@@ -58,6 +58,7 @@
     weightsMb: float  # noqa: N815
     loadTimeS: float  # noqa: N815
     adapters: int = 0
+    adapterMb: float = 0.0  # noqa: N815
     warmS: float | None = None  # noqa: N815
     diskS: float | None = None  # noqa: N815
 
@@ -240,6 +241,7 @@
             m.loadTimeS if m.diskS is None else m.diskS,
             m.loadTimeS if m.warmS is None else m.warmS,
             m.adapters,
+            m.adapterMb,
         )
         for m in engine.models
     }
--- a/carobsail/routetable.py
+++ b/carobsail/routetable.py
@@ -78,6 +78,7 @@
       disk_load_s: Seconds of a load from the engine's disk.
       memory_load_s: Seconds of a load from the engine's host memory.
       adapters: Number of its adapters.
+      adapter_mb: Memory that each of them takes in an engine.
     """
 
     name: str
@@ -86,6 +87,7 @@
     disk_load_s: float
     memory_load_s: float
     adapters: int = 0
+    adapter_mb: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,7 +98,7 @@
       models: Models by name.
       slots: Requests that an engine runs at once.
       cache_tokens: Tokens that an engine's memory holds for prompts.
-      memory_mb: Memory of an engine for weights.
+      memory_mb: Memory of an engine for weights, adapters included.
       adapter_places: Adapters that an engine holds at once.
       loads_per_s: Loads a second that the weight store allows, over all
         engines.
@@ -109,6 +111,12 @@
     adapter_places: int
     loads_per_s: float
 
+    @property
+    def model_memory_mb(self) -> float:
+        """Memory that is left for models when all adapter places are taken."""
+        largest = max((m.adapter_mb for m in self.models.values()), default=0.0)
+        return self.memory_mb - self.adapter_places * largest
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
--- a/tests/test_copyplan.py
+++ b/tests/test_copyplan.py
@@ -35,6 +35,17 @@
     assert "m0" not in moves[0].unload
 
 
+def test_adapters_keep_their_part_of_the_memory():
+    """Adapters share the engine's memory with models; overfilled, it ends."""
+    models = [model(f"m{n}", adapter_mb=6_000.0) for n in range(4)]
+    engines = [state("e1", "m0", "m1")]
+    wanted = {"m2": demand(1.0, waiting=3)}
+    for place_count, unloaded in ((2, 1), (3, 1), (5, 1), (1, 0)):
+        engine = pool(*models, memory_mb=216_000.0, adapter_places=place_count)
+        moves = plan(engine, engines, wanted, 5, NOW)
+        assert [len(m.unload) for m in moves] == [unloaded]
+
+
 def test_shortage_of_a_hot_model_goes_first():
     """After a crash the rare models were loaded before the busy one."""
     wanted = {
