Take signs of life in the list of targets for no news

Cause: each heartbeat of a target changes its entry.

Change: an entry that differs in nothing but its revision is neither logged nor does it wake requests.

--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -240,11 +240,13 @@
             entry = self._documents.target(event, self._serving.table)
             if entry is None:
                 continue
-            changed = True
             if isinstance(entry, str):
-                self._book.remove(entry, now)
+                news = self._book.remove(entry, now)
             else:
-                self._book.put(entry, now)
+                news = self._book.put(entry, now)
+            if not news:
+                continue
+            changed = True
             telemetry.log(
                 _log,
                 "target_listed"
--- a/carobsail/targetbook.py
+++ b/carobsail/targetbook.py
@@ -157,20 +157,33 @@
         if not reachable:
             self._outage_until = now + LAPSE_GRACE_S
 
-    def put(self, entry: TargetEntry, now: float) -> None:
-        """Takes over a listed entry; an older revision is ignored."""
+    def put(self, entry: TargetEntry, now: float) -> bool:
+        """Takes over a listed entry; an older revision is ignored.
+
+        Returns:
+          Whether it tells anything new: most changes of an entry are signs of
+          life only.
+        """
         known = self._targets.get(entry.identity)
-        if known is None:
+        if known is None or (
+            entry.revision >= known.entry.revision
+            and entry.born != known.entry.born
+        ):
+            # New, or started anew under its identity: nothing of before holds.
             known = self._targets[entry.identity] = Target(entry)
+            changed = True
         elif entry.revision < known.entry.revision:
-            return
-        elif entry.born != known.entry.born:
-            # The same identity started anew: nothing of before holds.
-            known = self._targets[entry.identity] = Target(entry)
+            return False
+        else:
+            renewed = dataclasses.replace(entry, revision=known.entry.revision)
+            changed = known.lapsed_at is not None or renewed != known.entry
         known.entry = entry
         known.lapsed_at = None
         if now - known.told_at > TOLD_VALID_S:
-            known.held = {m.name: m.adapters for m in entry.models}
+            held = {m.name: m.adapters for m in entry.models}
+            changed |= held != known.held
+            known.held = held
+        return changed
 
     def tell(
         self, identity: str, held: dict[str, frozenset[str]], now: float
@@ -184,16 +197,21 @@
         target.told_at = now
         return changed
 
-    def remove(self, identity: str, now: float) -> None:
-        """Removes an entry; during an outage it stays for the grace."""
+    def remove(self, identity: str, now: float) -> bool:
+        """Removes an entry; during an outage it stays for the grace.
+
+        Returns:
+          Whether the target was known.
+        """
         target = self._targets.get(identity)
         if target is None:
-            return
+            return False
         if now < self._outage_until and not target.entry.leaving:
             if target.lapsed_at is None:
                 target.lapsed_at = now
         else:
             del self._targets[identity]
+        return True
 
     def _drop_lapsed(self, now: float) -> None:
         if now < self._outage_until:
--- a/tests/test_targetbook.py
+++ b/tests/test_targetbook.py
@@ -83,3 +83,14 @@
     assert target.failed(0.0) == 2 * first
     target.succeeded()
     assert target.failed(0.0) == first
+
+
+def test_sign_of_life_is_no_news():
+    """76 entries renewed each second woke all waiting requests each time."""
+    book = TargetBook()
+    assert book.put(engine_entry(), 0.0)
+    assert not book.put(engine_entry(revision=2), 1.0)
+    assert book.put(engine_entry(revision=3, leaving=True), 2.0)
+    assert book.put(engine_entry(revision=4, born=2000), 3.0)
+    assert book.remove("e1", 4.0)
+    assert not book.remove("e1", 5.0)
