Add a fault soak with the real programs

make soak starts instances as separate processes against stand-ins of the store and the targets, with a proxy on each link, and disturbs them by a seeded schedule. The store's stand-in moves from the tests into the soak and gains lost answers, refusals of one caller, delays and a forgotten history.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(VENV)/bin/pip install -q -e '.[test]'
 	touch $@
 
-.PHONY: install demo test check bench
+.PHONY: install demo test check bench soak
 install: $(VENV)/installed
 
 demo: install
@@ -21,5 +21,12 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 
+# Real programs under faults; SEEDS=1,2,3 plays these, MINUTES of faults each.
+MINUTES ?= 0.5
+INSTANCES ?= 7
+soak: install
+	$(VENV)/bin/python -m soak --seeds="$(SEEDS)" --minutes=$(MINUTES) \
+	  --instances=$(INSTANCES)
+
 bench: install
 	$(VENV)/bin/python -m bench.all
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,125 @@
+"""Plays seeds: `python -m soak --seeds=1,2 --minutes=1 --instances=7`."""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import fire
+
+from soak import checks, polling, schedule
+from soak.records import Record
+from soak.world import World
+
+# Requests a second over all instances.
+RATE_PER_S = 40.0
+# Time after the last fault in which service is watched again.
+AFTER_S = checks.RECOVER_S + 3.0
+START_S = 15.0
+
+
+async def play(
+    seed: int,
+    seconds: float,
+    instances: int,
+    directory: pathlib.Path,
+    per_s: float = RATE_PER_S,
+) -> tuple[Record, list[checks.Violation]]:
+    """Plays one seed and returns what was seen and what was broken.
+
+    Args:
+      seed: The seed.
+      seconds: Time in which faults begin.
+      instances: Number of instances.
+      directory: Gets settings and logs.
+      per_s: Requests a second.
+    """
+    world = World(seed, instances, directory)
+    try:
+        await world.start()
+        async with asyncio.timeout(START_S):
+            await polling.until(lambda: len(world.callers.ready) == instances)
+        end = asyncio.Event()
+        calls = asyncio.create_task(world.callers.run(per_s, end))
+        healed_at = await world.play(schedule.draw(seed, seconds))
+        await asyncio.sleep(AFTER_S)
+        end.set()
+        await calls
+        found = checks.run_all(world.record)
+        found += checks.recovered(world.record, healed_at)
+        return world.record, found
+    finally:
+        await world.stop()
+
+
+def describe(record: Record) -> str:
+    """Returns the counts of a run in one line."""
+    statuses = collections.Counter(
+        a.status if a.complete else 0 for a in record.asked.values()
+    )
+    runs = sum(map(len, record.runs.values()))
+    found = ", ".join(f"{n} x {s or 'cut'}" for s, n in statuses.most_common())
+    return (
+        f"{len(record.asked)} requests ({found}), {runs} runs, "
+        f"{len(record.orders)} orders, {len(record.configured)} configurations"
+    )
+
+
+def main(
+    seeds: str | int | tuple[int, ...] = "",
+    minutes: float = 0.5,
+    instances: int = 7,
+    per_s: float = RATE_PER_S,
+) -> None:
+    """Plays seeds one after the other; exits 1 after a violation.
+
+    Args:
+      seeds: Seeds, separated by commas; a fresh one if empty.
+      minutes: Time of each seed in which faults begin.
+      instances: Number of instances.
+      per_s: Requests a second.
+    """
+    if isinstance(seeds, int):
+        numbers = [seeds]
+    elif isinstance(seeds, tuple):
+        numbers = list(seeds)
+    else:
+        numbers = [int(s) for s in seeds.split(",") if s]
+    numbers = numbers or [random.SystemRandom().randrange(10**6)]
+    kinds: collections.Counter[str] = collections.Counter()
+    broken = []
+    for seed in numbers:
+        steps = schedule.draw(seed, 60.0 * minutes)
+        kinds.update(step.kind for step in steps)
+        sys.stdout.write(f"seed {seed}: {len(steps)} steps\n")
+        for step in steps:
+            sys.stdout.write(f"  {step}\n")
+        directory = pathlib.Path(tempfile.mkdtemp(prefix="carobsail-soak-"))
+        began = time.monotonic()
+        record, found = asyncio.run(
+            play(seed, 60.0 * minutes, instances, directory, per_s)
+        )
+        took_s = time.monotonic() - began
+        sys.stdout.write(f"  {describe(record)}, {took_s:.0f} s\n")
+        for violation in found:
+            sys.stdout.write(f"  VIOLATION {violation}\n")
+        if found:
+            broken.append(seed)
+            sys.stdout.write(f"  logs: {directory}\n")
+        else:
+            for file in directory.iterdir():
+                file.unlink()
+            directory.rmdir()
+        sys.stdout.flush()
+    drawn = ", ".join(f"{n} {k}" for k, n in sorted(kinds.items()))
+    sys.stdout.write(
+        f"{len(numbers)} seeds, {len(broken)} broken: {broken}; {drawn}\n"
+    )
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,184 @@
+"""Callers: send requests over kept connections and record what they get."""
+
+import asyncio
+import random
+
+import h11
+
+from soak.records import Asked, Kind, Record
+
+HOST = "soak.example"
+_READ_BYTES = 65_536
+_CONNECT_S = 1.0
+_ANSWER_SLACK_S = 0.6
+# Parts of the traffic.
+_WEIGHTS = {
+    Kind.SAFE: 3,
+    Kind.UNSAFE: 3,
+    Kind.STREAM: 6,
+    Kind.CONFIG: 2,
+}
+# The routes' time-outs as well.
+PATIENCE_S = {
+    Kind.SAFE: 3.0,
+    Kind.UNSAFE: 3.0,
+    Kind.STREAM: 6.0,
+    Kind.CONFIG: 3.0,
+}
+# Part of the callers that leave early, and of those that use a connection
+# which was used before.
+_LEAVE_SHARE = 0.06
+_REUSE_SHARE = 0.7
+_ADAPTER_SHARE = 0.3
+
+
+class _Connection:
+    """A caller's connection to an instance."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.machine = h11.Connection(h11.CLIENT)
+
+
+class Callers:
+    """Sends requests at a rate to instances that are ready.
+
+    Attributes:
+      models: Models that are asked for, most wanted first.
+      ready: Ports of the links to ready instances, by name.
+    """
+
+    def __init__(self, record: Record, rng: random.Random) -> None:
+        """Creates callers that know no instance."""
+        self.models: list[str] = []
+        self.ready: dict[str, tuple[int, int]] = {}
+        self._record = record
+        self._rng = rng
+        self._idle: dict[tuple[str, int], list[_Connection]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._count = 0
+
+    async def run(self, per_s: float, end: asyncio.Event) -> None:
+        """Sends until the end, then waits for the last answers."""
+        while not end.is_set():
+            await asyncio.sleep(self._rng.expovariate(per_s))
+            if self.ready:
+                task = asyncio.create_task(self._ask())
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def forget(self, instance: str) -> None:
+        """Takes an instance out; its open connections stay in use."""
+        self.ready.pop(instance, None)
+
+    async def _ask(self) -> None:
+        """Sends one request and records its answer."""
+        loop = asyncio.get_running_loop()
+        kinds = list(_WEIGHTS)
+        kind = self._rng.choices(kinds, [_WEIGHTS[k] for k in kinds])[0]
+        instance = self._rng.choice(sorted(self.ready))
+        port, incarnation = self.ready[instance]
+        self._count += 1
+        asked = Asked(
+            f"q{self._count:06d}{self._rng.getrandbits(24):06x}",
+            kind,
+            instance,
+            incarnation,
+            loop.time(),
+            PATIENCE_S[kind],
+            acked_version=max(self._record.configured, default=0),
+        )
+        self._record.asked[asked.request] = asked
+        # A request has a final answer a little after its time at the latest.
+        patience_s = asked.patience_s + _ANSWER_SLACK_S
+        if self._rng.random() < _LEAVE_SHARE:
+            patience_s = self._rng.uniform(0.05, 0.4)
+        connection: _Connection | None = None
+        try:
+            connection = await self._connect(instance, port, kind)
+            async with asyncio.timeout(patience_s):
+                await self._exchange(connection, asked)
+        except TimeoutError:
+            asked.left = connection is not None
+        except (OSError, h11.RemoteProtocolError):
+            pass  # Recorded as an answer that is not complete.
+        asked.ended_at = loop.time()
+        if connection is not None:
+            self._keep(connection, asked, port)
+
+    async def _connect(
+        self, instance: str, port: int, kind: Kind
+    ) -> _Connection:
+        idle = self._idle.setdefault((instance, port), [])
+        reuse = kind is not Kind.UNSAFE and self._rng.random() < _REUSE_SHARE
+        while idle and reuse:
+            connection = idle.pop()
+            if not connection.reader.at_eof():
+                return connection
+            connection.writer.close()
+        async with asyncio.timeout(_CONNECT_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        return _Connection(reader, writer)
+
+    def _keep(self, connection: _Connection, asked: Asked, port: int) -> None:
+        machine = connection.machine
+        whole = machine.our_state is h11.DONE and (
+            machine.their_state is h11.DONE
+        )
+        if asked.complete and whole:
+            machine.start_next_cycle()
+            self._idle[asked.instance, port].append(connection)
+        else:
+            connection.writer.transport.abort()
+
+    async def _exchange(self, connection: _Connection, asked: Asked) -> None:
+        headers = [
+            ("host", HOST),
+            ("carobsail-request-id", asked.request),
+            ("carobsail-deadline-ms", str(int(asked.patience_s * 1000))),
+            ("content-length", "0"),
+        ]
+        if asked.kind is Kind.STREAM:
+            headers += self._generation()
+        request = h11.Request(
+            method="POST",
+            target=f"/{asked.kind}/{asked.request}",
+            headers=headers,  # type: ignore[arg-type]
+        )
+        machine = connection.machine
+        data = machine.send(request) or b""
+        data += machine.send(h11.EndOfMessage()) or b""
+        connection.writer.write(data)
+        while True:
+            event = machine.next_event()
+            if event is h11.NEED_DATA:
+                machine.receive_data(await connection.reader.read(_READ_BYTES))
+            elif isinstance(event, h11.Response):
+                asked.status = event.status_code
+                found = dict(event.headers)
+                asked.seal = found.get(b"carobsail-server-seal", b"").decode()
+            elif isinstance(event, h11.Data):
+                asked.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                asked.complete = True
+                return
+            else:
+                return
+
+    def _generation(self) -> list[tuple[str, str]]:
+        # Few models get most of the requests.
+        rank = min(len(self.models) - 1, int(self._rng.expovariate(0.7)))
+        model = self.models[rank]
+        if self._rng.random() < _ADAPTER_SHARE:
+            model += f"/a{self._rng.randint(1, 3)}"
+        prompt = self._rng.randint(200, 2000)
+        return [
+            ("carobsail-model", model),
+            ("carobsail-token-count", f"{prompt},60"),
+            ("carobsail-prompt-prefix", f"p{self._rng.randint(1, 5)}:{prompt}"),
+        ]
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,146 @@
+"""What callers, targets and the operator saw, the input of all checks."""
+
+import dataclasses
+import enum
+import hashlib
+
+# Name of spans in which the soak itself got too little processor time.
+MACHINE = "machine"
+
+
+class Kind(enum.StrEnum):
+    """Kinds of requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    CONFIG = "config"
+
+
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """A request as its caller saw it.
+
+    Attributes:
+      request: Identity of the request.
+      kind: Its kind.
+      instance: Instance that it was sent to.
+      incarnation: Start of that instance's process.
+      sent_at: When it was sent.
+      ended_at: When its answer ended, or its caller left.
+      patience_s: Time that the caller waits.
+      status: Status of the answer; 0 without one.
+      complete: Whether the answer ended as complete.
+      seal: Signature that came with the answer.
+      body: Body as received.
+      left: Whether the caller left before the end.
+      acked_version: Newest configuration that the store had acknowledged when
+        the request was sent.
+    """
+
+    request: str
+    kind: Kind
+    instance: str
+    incarnation: int
+    sent_at: float
+    patience_s: float
+    ended_at: float = 0.0
+    status: int = 0
+    complete: bool = False
+    seal: str = ""
+    body: bytes = b""
+    left: bool = False
+    acked_version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A run of a request at a target.
+
+    Attributes:
+      request: Identity of the request.
+      target: Identity of the target.
+      service: Service of the target.
+      started_at: When the run began.
+      ended_at: When it ended; 0 while it goes on.
+      after: Event after which a stream was resumed; 0 from the start.
+      seal: Signature that was given out.
+    """
+
+    request: str
+    target: str
+    service: str
+    started_at: float
+    ended_at: float = 0.0
+    after: int = 0
+    seal: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class OrderSeen:
+    """An order as an engine received it."""
+
+    engine: str
+    holder: str
+    fence: int
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """A time in which something was disturbed; `what` names it."""
+
+    what: str
+    start: float
+    end: float
+    planned: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """All that was seen in one run of the soak.
+
+    Attributes:
+      asked: Requests by identity.
+      runs: Runs by request.
+      orders: Orders in order of arrival.
+      leaving: When the store acknowledged that a target leaves, by identity.
+      disturbed: Times of faults and planned work.
+      configured: When the store acknowledged each version.
+      faults: What engines saw that must not be, such as a full memory.
+    """
+
+    asked: dict[str, Asked] = dataclasses.field(default_factory=dict)
+    runs: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
+    orders: list[OrderSeen] = dataclasses.field(default_factory=list)
+    leaving: dict[str, float] = dataclasses.field(default_factory=dict)
+    disturbed: list[Span] = dataclasses.field(default_factory=list)
+    configured: dict[int, float] = dataclasses.field(default_factory=dict)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+    def run(self, run: Run) -> None:
+        """Adds a run."""
+        self.runs.setdefault(run.request, []).append(run)
+
+    def calm(self, what: set[str], start: float, end: float) -> bool:
+        """Whether none of the named things was disturbed in a time."""
+        what = what | {MACHINE}
+        return not any(
+            span.what in what and span.start <= end and span.end >= start
+            for span in self.disturbed
+        )
+
+
+def body_of(request: str) -> bytes:
+    """Returns the one right body of a plain answer."""
+    return hashlib.sha256(request.encode()).hexdigest().encode() * 8
+
+
+def events_of(request: str) -> int:
+    """Returns the number of events of a stream."""
+    return 4 + int(request[-2:], 16) % 12
+
+
+def event_of(request: str, number: int) -> bytes:
+    """Returns one event of a stream."""
+    return f"id: {number}\ndata: {request} {number}\n\n".encode()
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,91 @@
+"""The faults and planned work of one run, decided by its seed alone."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+# Time without a fault before the first one and after the last one; the last
+# part shows whether service is back.
+FIRST_S = 2.0
+# Kinds with the share in which they are drawn, and the seconds they last.
+KINDS: dict[str, tuple[int, float, float]] = {
+    "stop_instance": (3, 0.0, 0.0),
+    "kill_instance": (3, 0.0, 0.0),
+    "pause_instance": (3, 0.3, 4.5),
+    "reload_instance": (2, 0.0, 0.0),
+    "cut_store_way": (2, 0.5, 5.0),
+    "refuse_store_way": (2, 0.5, 5.0),
+    "store_down": (2, 0.5, 6.0),
+    "store_slow": (1, 1.0, 4.0),
+    "store_loses": (2, 0.0, 0.0),
+    "store_forgets": (1, 0.0, 0.0),
+    "cut_target_way": (3, 0.3, 4.0),
+    "slow_target_way": (1, 0.5, 4.0),
+    "reset_target_way": (2, 0.0, 0.0),
+    "reset_callers": (2, 0.0, 0.0),
+    "crash_target": (4, 0.5, 4.0),
+    "drain_target": (3, 0.0, 0.0),
+    "spoil_target": (3, 1.0, 5.0),
+    "late_orders": (2, 0.0, 0.0),
+    "change_configuration": (4, 0.0, 0.0),
+    "shift_demand": (3, 0.0, 0.0),
+}
+PLANNED = (
+    "stop_instance",
+    "reload_instance",
+    "change_configuration",
+    "drain_target",
+    "shift_demand",
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Step:
+    """One fault or piece of planned work.
+
+    Attributes:
+      at: Seconds from the start of the traffic.
+      kind: What happens, a key of `KINDS`.
+      pick: Chooses the subject: a number in [0, 1).
+      how: Chooses the variant: a number in [0, 1).
+      for_s: How long it lasts.
+    """
+
+    at: float
+    kind: str
+    pick: float
+    how: float
+    for_s: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.at:7.2f} s {self.kind} pick={self.pick:.3f} "
+            f"how={self.how:.3f} for {self.for_s:.2f} s"
+        )
+
+
+def draw(seed: int, seconds: float) -> list[Step]:
+    """Returns the steps of a seed; a third of the seeds has planned work only.
+
+    Args:
+      seed: The seed.
+      seconds: Time in which steps begin.
+    """
+    rng = random.Random(seed)
+    kinds: Sequence[str] = PLANNED if seed % 3 == 0 else list(KINDS)
+    weights = [KINDS[kind][0] for kind in kinds]
+    # From one step in 4 s, alone, to one in 1 s, which overlap.
+    gap_s = rng.uniform(1.0, 4.0)
+    steps = []
+    at = FIRST_S
+    while (at := at + rng.expovariate(1.0 / gap_s)) < seconds:
+        kind = rng.choices(kinds, weights)[0]
+        _, least, most = KINDS[kind]
+        steps.append(
+            Step(at, kind, rng.random(), rng.random(), rng.uniform(least, most))
+        )
+        # Changes also come in series.
+        if rng.random() < 0.15:
+            again = dataclasses.replace(steps[-1], at=at + 0.3)
+            steps.append(again)
+    return steps
--- a/soak/storestandin.py
+++ b/soak/storestandin.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import base64
+import functools
 import urllib.parse
+from typing import TypeVar
 
 import msgspec
 
-from carobsail import httpserver, keyvalue
+from carobsail import errors, httpserver, keyvalue
 
 
 class StoreStandin:
@@ -16,26 +18,65 @@
       data: The stored data.
       compacted: Revision up to which the history is gone.
       status: Answers each call with this status, if set.
+      refused: Status for each call, by the name of the caller.
       silent: Leaves each call without an answer.
+      delay_s: Time that each answer takes.
+      lose_writes: Number of coming writes that take effect and whose answer is
+        lost.
       calls: Calls received, by path.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, page_items: int = 2) -> None:
+        """Creates an empty store.
+
+        Args:
+          page_items: Items in one page of a range.
+        """
         self.data = keyvalue.MemoryKeyValue()
         self.compacted = 0
         self.status = 0
+        self.refused: dict[str, int] = {}
         self.silent = False
+        self.delay_s = 0.0
+        self.lose_writes = 0
         self.calls: list[str] = []
+        self._page_items = page_items
+
+    @property
+    def down(self) -> bool:
+        """Whether the store serves nobody."""
+        return self.silent or bool(self.status)
+
+    async def put_entry(self, identity: str, entry: bytes) -> None:
+        """Writes the entry of a target."""
+        await self.data.transact(
+            [], [keyvalue.Put(f"servers/{identity}", entry)]
+        )
+
+    async def delete_entry(self, identity: str) -> None:
+        """Removes the entry of a target."""
+        await self.data.transact([], [keyvalue.Delete(f"servers/{identity}")])
+
+    async def forget_history(self) -> None:
+        """Drops the changes up to now."""
+        self.compacted = _sure(await self.data.range("")).revision
 
-    async def handle(self, request, responder) -> None:
+    async def handle(self, request, responder, caller: str = "") -> None:
         """Answers one call."""
         self.calls.append(request.path)
         if self.silent:
             await responder.disconnected.wait()
             return
-        status, body = await self._answer(request)
+        refused = self.status or self.refused.get(caller, 0)
+        status, body = (refused, {}) if refused else await self._answer(request)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.lose_writes and request.method == "POST":
+            self.lose_writes -= 1
+            responder.abort()
+            return
         await responder.send(
-            self.status or status,
+            status,
             [("content-type", "application/json")],
             msgspec.json.encode(body),
         )
@@ -54,7 +95,7 @@
                 lease = await self.data.grant_lease(body["ttlMs"] / 1000.0)
                 return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
             case "POST", ["kv-keep", lease]:
-                ttl_s = await self.data.keep_lease(int(lease))
+                ttl_s = _sure(await self.data.keep_lease(int(lease)))
                 return (200 if ttl_s else 404), {"ttlMs": ttl_s * 1000.0}
             case "DELETE", ["kv-lease-end", lease]:
                 await self.data.revoke_lease(int(lease))
@@ -62,10 +103,10 @@
         return 404, {}
 
     async def _range(self, query):
-        found = await self.data.range(query["prefix"])
+        found = _sure(await self.data.range(query["prefix"]))
         after = query.get("after", "")
         items = [_item(v) for v in found.values if v.key > after]
-        page = items[:2]
+        page = items[: self._page_items]
         return 200, {
             "items": page,
             "hasMore": len(items) > len(page),
@@ -77,15 +118,15 @@
         if after < self.compacted:
             return 410, {}
         wait_s = int(query["waitMs"]) / 1000.0
-        events = []
+        events: list[keyvalue.WatchEvent] = []
         try:
             async with asyncio.timeout(wait_s):
                 async for found in self.data.watch(query["prefix"], after + 1):
-                    events = found
+                    events = _sure(found)
                     break
         except TimeoutError:
             pass
-        current = (await self.data.range("")).revision
+        current = _sure(await self.data.range("")).revision
         return 200, {
             "events": [_event(e) for e in events],
             "currentRev": events[-1].mod_revision if events else current,
@@ -111,6 +152,15 @@
         return 412, {"items": [_item(v) for v in result.current]}
 
 
+_Result = TypeVar("_Result")
+
+
+def _sure(result: _Result | errors.Failure) -> _Result:
+    """Returns the result of data that is always there."""
+    assert not isinstance(result, errors.Failure)
+    return result
+
+
 def _item(value):
     return {
         "key": value.key,
@@ -132,8 +182,12 @@
     return {"key": event.key, "value": value, "revision": event.mod_revision}
 
 
-async def serve(standin: StoreStandin) -> httpserver.Server:
-    """Starts the stand-in on a free port."""
+async def serve(standin: StoreStandin, caller: str = "") -> httpserver.Server:
+    """Starts the stand-in on a free port, for one caller or for all."""
     return await httpserver.serve(
-        "127.0.0.1", 0, standin.handle, httpserver.Bounds(), "store"
+        "127.0.0.1",
+        0,
+        functools.partial(standin.handle, caller=caller),
+        httpserver.Bounds(),
+        "store",
     )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,11 +1,11 @@
 """Guards the client of the platform's store, against a stand-in."""
 
 import pytest
-from standin_store import StoreStandin, serve
 
 from carobsail import errors
 from carobsail.keyvalue import Compare, Delete, Put
 from carobsail.platform.store import PlatformStore
+from soak.storestandin import StoreStandin, serve
 
 pytestmark = pytest.mark.memory_network
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,6 +1,7 @@
 """Guards the request path from a caller's connection to targets."""
 
 import asyncio
+import gc
 
 import builders_io
 import pytest
@@ -362,3 +363,65 @@
     served.set_budget(type(served._budget_terms)(0.0, 0.0, 10.0))
     assert status(await ask(served)) == 502
     assert not second.requests
+
+
+class BlockedResponder:
+    """A caller's connection that takes the head and no event."""
+
+    started = finished = False
+
+    def __init__(self):
+        self.disconnected = asyncio.Event()
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def write(self, data):
+        await asyncio.Event().wait()
+
+    def abort(self):
+        self.disconnected.set()
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+async def test_target_is_freed_while_a_write_to_its_caller_waits(leaves):
+    """The answer was given up only when the collector found it (GONE)."""
+    ended = asyncio.Event()
+
+    async def accept(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(event(1)))
+        try:
+            await reader.read()
+        except ConnectionResetError:
+            pass  # An answer that is given up resets its connection.
+        ended.set()
+        writer.close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    address = f"127.0.0.1:{builders_io.port_of(listener)}"
+    served = request_path(table(stream_route()), engine_entry(address=address))
+    headers = [
+        ("host", "host.example"),
+        ("carobsail-request-id", "q1"),
+        ("carobsail-model", "m1"),
+        ("carobsail-token-count", "100,20"),
+        ("carobsail-deadline-ms", "200"),
+    ]
+    request = httpserver.Request(
+        "POST", "/a/x", "", headers, b"", "127.0.0.1:1", "/a/x"
+    )
+    responder = BlockedResponder()
+    work = asyncio.create_task(served.handle(request, responder))
+    gc.disable()
+    try:
+        await asyncio.sleep(0.1)
+        assert responder.started
+        if leaves:
+            responder.disconnected.set()
+        async with asyncio.timeout(0.3):
+            await ended.wait()
+    finally:
+        gc.enable()
+    await work
+    listener.close()
