Charge the budget of repeats only for sends that reached a target

Connections that did not open counted as repeats, so the budget was used up: between seconds 6 and 12, 473 of some 3,000 requests were refused with connect_failed, though other engines held their model.

Change: a send for which no connection opened is no arrival at the service; the one after it is the first. At most 8 tries in all. Two tests fail without it.

--- a/carobsail/followup.py
+++ b/carobsail/followup.py
@@ -11,9 +11,12 @@
 
 from carobsail import routetable
 
-# Sends that a target provably did not run are bounded as well: each counts
-# in the shared budget.
+# Sends that a target provably did not run are bounded as well: each that
+# reached one counts in the shared budget.
 MAX_SENDS = 4
+# Bound on all sends, with those for which no connection opened: new connections
+# are billed, and each may cost 0.4 s.
+MAX_TRIES = 8
 # Less than this is left to neither reach a target nor answer.
 MIN_LEFT_S = 0.05
 
@@ -34,6 +37,8 @@
     Attributes:
       route: Its route.
       sends: Sends so far.
+      unsent: Sends of which no byte was written, because no connection to the
+        target opened.
       may_have_run: Sends of which it is not proved that they did not run,
         the one under way included.
       head_delivered: Whether the caller has the head of an answer.
@@ -42,10 +47,16 @@
 
     route: routetable.Route
     sends: int = 0
+    unsent: int = 0
     may_have_run: int = 0
     head_delivered: bool = False
     last_event: str = ""
 
+    @property
+    def arrivals(self) -> int:
+        """Sends that may have reached a target."""
+        return self.sends - self.unsent
+
 
 def decide(progress: Progress, left_s: float, budget_left: bool) -> Next:
     """Decides what follows a failed send.
@@ -53,13 +64,16 @@
     Args:
       progress: What is known of the request; the failed send is recorded.
       left_s: Seconds that the caller still waits.
-      budget_left: Whether a repeat may be sent, by the shared budget.
+      budget_left: Whether a repeat may be sent, by the shared budget. A send
+        after others that reached no target is no repeat.
     """
     route = progress.route
     give_up = Next.FAIL if progress.may_have_run else Next.REFUSE
     if progress.may_have_run >= route.max_targets:
         return give_up
-    if progress.sends >= MAX_SENDS or left_s < MIN_LEFT_S or not budget_left:
+    if progress.arrivals >= MAX_SENDS or progress.sends >= MAX_TRIES:
+        return give_up
+    if left_s < MIN_LEFT_S or (progress.arrivals and not budget_left):
         return give_up
     if not progress.may_have_run:
         return Next.SEND_AGAIN
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -300,7 +300,7 @@
             if isinstance(target, errors.Failure):
                 call.failure = call.failure or target
                 return
-            if call.progress.sends:
+            if call.progress.arrivals:
                 budget = self._budget(call.want.service)
                 if not budget.take(self.members, loop.time()):
                     self._metrics.count("repeat_budget_used_up")
@@ -467,6 +467,8 @@
         call.want.excluded.add(target.entry.identity)
         if result.outcome is errors.Outcome.NOT_RUN:
             progress.may_have_run -= 1
+        if result.step is errors.Step.CONNECT:
+            progress.unsent += 1
         if result.reason is errors.Reason.TARGET_ERROR:
             target.answered_badly()
         elif result.reason is not errors.Reason.TARGET_REFUSED:
--- a/tests/test_followup.py
+++ b/tests/test_followup.py
@@ -3,7 +3,7 @@
 import pytest
 from builders_serving import progress, route, stream_route
 
-from carobsail.followup import MAX_SENDS, Next, decide
+from carobsail.followup import MAX_SENDS, MAX_TRIES, Next, decide
 from carobsail.routetable import Repeat
 
 UNSAFE = route(repeat=Repeat.UNSAFE, max_targets=1)
@@ -30,6 +30,18 @@
     assert decide(progress(kind, **changes), 2.0, True) is expected
 
 
+def test_send_that_reached_no_target_uses_no_budget():
+    """A third of the engines crashed; 473 requests of 3,000 were refused in
+    6 s because connections that did not open had used the budget up.
+    """
+    unsent = progress(UNSAFE, may_have_run=0, unsent=1)
+    assert decide(unsent, 2.0, False) is Next.SEND_AGAIN
+    again = progress(UNSAFE, may_have_run=0, sends=2, unsent=1)
+    assert decide(again, 2.0, False) is Next.REFUSE
+    many = progress(UNSAFE, may_have_run=0, sends=MAX_TRIES, unsent=MAX_TRIES)
+    assert decide(many, 2.0, True) is Next.REFUSE
+
+
 def test_without_budget_or_time_nothing_is_sent_again():
     """Repeats without bound multiply the load of a failing service."""
     assert decide(progress(route()), 2.0, False) is Next.FAIL
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -365,6 +365,19 @@
     assert not second.requests
 
 
+async def test_target_that_takes_no_connection_uses_no_budget():
+    """Requests were refused although a sound target was known."""
+    sound = await Target().start()
+    crashed = entry("t1", address="127.0.0.1:1")
+    served = request_path(
+        table(route(repeat=Repeat.UNSAFE, max_targets=1)),
+        crashed,
+        sound.entry("t2", data_centre="dc-c"),
+    )
+    served.set_budget(type(served._budget_terms)(0.0, 0.0, 10.0))
+    assert status(await ask(served)) == 200
+
+
 class BlockedResponder:
     """A caller's connection that takes the head and no event."""
 
