Spread requests over targets whose load is known late

All instances chose by the same figures, up to 2 s old, and took the cheapest engine until it was told: in the second before such an answer its engine had got 16 requests, against 8 for an average one.

Change: what the other instances will send until the next figures is spread over the targets by their headroom; the order giver tells the demand for the most wanted models. Only targets that can be on time are drawn. The replay of a second of 61 instances fails without it.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -8,7 +8,7 @@
 import dataclasses
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 
 import msgspec
 
@@ -46,6 +46,12 @@
 # Seconds between the loads of all targets, for each instance that gets them:
 # the holder's own link may take 5 Mbit/s.
 LOADS_S_PER_PEER = 0.015
+# The same for an order giver with a wide link: engines fill within a second,
+# and requests that go by old figures are late.
+STRONG_LOADS_S_PER_PEER = 0.005
+# Demand from which on instances get in each other's way within the time between
+# two boards.
+LEAST_RATE_PER_S = 1.0
 # Rows of one datagram, which keeps it below 1,400 bytes.
 MAX_ROWS = 40
 MAX_CHANGE_BYTES = 1200
@@ -541,6 +547,10 @@
         elif not self.lease.fence:
             self._mirror.relayed(board.store_revision, board.store_age_s)
         self._serving.members = board.members
+        if board.rates:
+            self._serving.rates.told(
+                {(r.service, r.model): r.per_s for r in board.rates}, now
+            )
         self._serving.coming = {
             (c.service, c.model): now + c.left_s for c in board.coming
         }
@@ -602,16 +612,23 @@
             *totals.values(),
             *(summaries.EngineLoad(name, 0, 0, 0) for name in idle),
         ]
-        own = self._board(repeated[: len(known)], loads, True)
+        rates = self._giver.demand.rates(LEAST_RATE_PER_S)
+        own = self._board(repeated[: len(known)], loads, True, rates)
         self._take_board(own, now)
-        if now - self._loads_sent_at < LOADS_S_PER_PEER * len(self._peers):
+        per_peer_s = LOADS_S_PER_PEER
+        if self._strong:
+            per_peer_s = STRONG_LOADS_S_PER_PEER
+        if now - self._loads_sent_at < per_peer_s * len(self._peers):
             loads = []
         else:
             self._loads_sent_at = now
         for first in range(0, max(1, len(loads)), MAX_ROWS):
             rows = loads[first : first + MAX_ROWS]
             self._broadcast(
-                repeated[: len(known)] if not first else [], rows, True
+                repeated[: len(known)] if not first else [],
+                rows,
+                True,
+                rates if loads and not first else [],
             )
 
     def _board(
@@ -619,6 +636,7 @@
         holdings: list[summaries.Holding],
         loads: list[summaries.EngineLoad],
         numbered: bool,
+        rates: list[summaries.Rate],
     ) -> summaries.Board:
         self._number += numbered
         now = asyncio.get_running_loop().time()
@@ -633,6 +651,7 @@
             store_revision=self._mirror.revision,
             store_age_s=-1.0 if self.stopping else age_s,
             unreachable=self._unreachable.judged(now),
+            rates=rates,
         )
 
     def relay(self, changes: storemirror.Changes, before: int) -> None:
@@ -693,5 +712,7 @@
         holdings: list[summaries.Holding],
         loads: list[summaries.EngineLoad],
         numbered: bool,
+        rates: Sequence[summaries.Rate] = (),
     ) -> None:
-        self._send_all(summaries.encode(self._board(holdings, loads, numbered)))
+        board = self._board(holdings, loads, numbered, list(rates))
+        self._send_all(summaries.encode(board))
--- a/carobsail/demandbook.py
+++ b/carobsail/demandbook.py
@@ -137,6 +137,14 @@
             found[model] = copyplan.ModelDemand(0.0, now, count)
         return found
 
+    def rates(self, least_per_s: float) -> list[summaries.Rate]:
+        """Returns the demand for models that is not less than a rate."""
+        return [
+            summaries.Rate(service, model, round(demand.fast_per_s, 1))
+            for (service, model), demand in self._demand.items()
+            if demand.fast_per_s >= least_per_s
+        ]
+
     def loads(self, now: float) -> dict[str, summaries.EngineLoad]:
         """Returns the requests under way at each target."""
         totals: dict[str, summaries.EngineLoad] = {}
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -22,6 +22,7 @@
     promptmemory,
     repeatbudget,
     routetable,
+    sendrates,
     targetbook,
     targetchoice,
     targetpools,
@@ -40,6 +41,9 @@
 # that was sent may need as long for its answer.
 STOP_WAIT_MARGIN_S = 2.0
 RETRY_SPREAD = 1.3
+# What others send is known this much later on average: boards come twice a
+# second, with what summaries told up to 0.5 s before.
+LOAD_AGE_S = 0.5
 # An instance that has just started reads the store within this time.
 START_RETRY_S = 0.4
 # Patience that is assumed of a caller that states none.
@@ -111,6 +115,7 @@
       coming: When models that are being loaded will be usable, by service
         and model.
       stops_at: When the instance ends, or None while it does not stop.
+      rates: How much the other instances send.
     """
 
     def __init__(
@@ -140,6 +145,7 @@
         self.arrivals: dict[tuple[str, str], Arrivals] = {}
         self.coming: dict[tuple[str, str], float] = {}
         self.stops_at: float | None = None
+        self.rates = sendrates.SendRates()
         self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
         self._place = place
@@ -237,6 +243,7 @@
             now + route.objective_s,
         )
         self._budget(service).count_request(now)
+        self.rates.count(service, now)
         if terms.model:
             arrived = self.arrivals.setdefault(
                 (service, terms.model), Arrivals()
@@ -349,6 +356,11 @@
                     for t in targets
                     if want.model in t.held
                 }
+            others_per_s = self.rates.others(
+                want.service, want.model, self.members, now
+            )
+            want.rivals = LOAD_AGE_S * others_per_s
+            want.draw = self._rng.random()
             choice = targetchoice.decide(want, targets, pool, self._place, now)
             if isinstance(choice, targetchoice.Wait) and self.stops_at:
                 # What waits at the end of the process would get no answer.
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -104,6 +104,14 @@
     left_s: float
 
 
+class Rate(msgspec.Struct, array_like=True, frozen=True):
+    """Requests a second for a model, over all instances."""
+
+    service: str
+    model: str
+    per_s: float
+
+
 class Unreachable(msgspec.Struct, array_like=True, frozen=True):
     """A target to be avoided.
 
@@ -135,6 +143,7 @@
       store_age_s: Seconds since the store last answered it; negative if it
         stops.
       unreachable: Targets to be avoided.
+      rates: Demand for the models that are asked for most.
     """
 
     fence: int
@@ -146,6 +155,7 @@
     store_revision: int = 0
     store_age_s: float = -1.0
     unreachable: list[Unreachable] = []
+    rates: list[Rate] = []
 
 
 class Change(msgspec.Struct, array_like=True, frozen=True):
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -17,7 +17,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from carobsail import routetable
+from carobsail import routetable, spread
 from carobsail.targetbook import Target
 
 # Prompt tokens that an engine reads in a second, while it also generates.
@@ -30,6 +30,8 @@
 FIRST_EVENT_S = 0.03
 # Seconds of work of a plain request; the users' sheets say 22.5 and 90 ms.
 PLAIN_WORK_S = 0.03
+# Seconds that each request under way at a plain target adds to another one.
+PLAIN_LOAD_S = 0.2 * PLAIN_WORK_S
 # Cost in seconds of leaving the data centre and the region: the links take
 # 0.5 and 20 ms each way, and their bytes are billed.
 OTHER_DATA_CENTRE_S = 0.004
@@ -85,6 +87,9 @@
       load_left_s: Seconds until the model is loaded, as the order giver says;
         None if it plans no load.
       waited_s: Seconds that it has waited for the model or adapter.
+      rivals: Requests that other instances send for the same model, or to the
+        same plain service, until the targets' load is told again.
+      draw: Random number in [0, 1), which spreads the instances.
     """
 
     service: str
@@ -97,6 +102,8 @@
     cached_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     load_left_s: float | None = None
     waited_s: float = 0.0
+    rivals: float = 0.0
+    draw: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -192,17 +199,30 @@
     late: bool,
     now: float,
 ) -> tuple[float, Target]:
-    """Returns the least cost in seconds and its target."""
+    """Returns a target that is cheap in seconds, and its cost.
+
+    Among the targets that can be on time, chance decides as far as others send
+    in the meantime, see `spread`.
+    """
     costs = [
         first_s(want, t, engine, late, now)
         + place.distance_s(t.entry.data_centre)
         + FAILING_S * t.failure_share
         for t in targets
     ]
-    cost_s, _, best = min(
+    on_time_s = want.objective_at - now
+    ranked = sorted(
         zip(costs, (t.entry.identity for t in targets), targets, strict=True),
         key=lambda found: found[:2],
     )
+    able = [found for found in ranked if found[0] <= on_time_s] or ranked[:1]
+    work_s = PLAIN_LOAD_S
+    if engine:
+        work_s = want.prompt_tokens / PROMPT_TOKENS_PER_S + RUNNING_S
+    index = spread.pick(
+        [cost_s for cost_s, _, _ in able], want.rivals * work_s, want.draw
+    )
+    cost_s, _, best = able[index]
     return cost_s, best
 
 
@@ -225,7 +245,7 @@
     waiting = max(0, in_flight + 1 - max(1, target.entry.slots))
     if not engine:
         work = PLAIN_WORK_S * (1.0 + waiting / max(1, target.entry.slots))
-        return work + 0.2 * PLAIN_WORK_S * in_flight
+        return work + PLAIN_LOAD_S * in_flight
     cached = want.cached_tokens.get(target.entry.identity, 0)
     tokens = float(max(0, want.prompt_tokens - cached))
     tokens += target.prompt_tokens + target.others_prompt_tokens
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,106 @@
+"""Guards the choice by figures that are a second old."""
+
+import random
+
+import builders_serving
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobsail import spread
+from carobsail.sendrates import TOLD_VALID_S, SendRates
+from carobsail.targetbook import Target
+from carobsail.targetchoice import decide
+
+POOL = builders_serving.pool(builders_serving.model("m1"))
+PLACE = builders_serving.PLACE
+WORK_S = 0.11
+
+
+def shares(costs, rival_s, count=2000):
+    rng = random.Random(1)
+    found = [0] * len(costs)
+    for _ in range(count):
+        found[spread.pick(costs, rival_s, rng.random())] += 1
+    return [n / count for n in found]
+
+
+def test_alone_the_cheapest_is_chosen():
+    """Without others the figures are all there is to know."""
+    assert shares([0.3, 0.1, 0.2], 0.0) == [0.0, 1.0, 0.0]
+
+
+def test_what_others_send_is_spread():
+    """The cheapest takes most, one above the level none."""
+    first, second, third = shares([0.1, 0.3, 2.0], 0.6)
+    assert first == pytest.approx(2 / 3, abs=0.04)
+    assert second == pytest.approx(1 / 3, abs=0.04)
+    assert third == 0.0
+
+
+@given(
+    st.lists(st.floats(0.0, 50.0), min_size=1, max_size=20),
+    st.floats(0.0, 100.0),
+    st.floats(0.0, 0.999),
+)
+def test_a_target_is_always_found(costs, rival_s, draw):
+    """No rounding may leave a request without a target."""
+    assert 0 <= spread.pick(costs, rival_s, draw) < len(costs)
+
+
+def engines(count):
+    made = [
+        Target(builders_serving.engine_entry(f"e{n}")) for n in range(count)
+    ]
+    for engine in made:
+        engine.held = {"m1": frozenset()}
+    return made
+
+
+def worst_queue_s(spread_out):
+    """Replays a second of 61 instances that send 40 requests in it.
+
+    Four engines hold the model; all instances know the same old figures, in
+    which one of the four is a little cheaper.
+    """
+    rng = random.Random(7)
+    sent = [0] * 4
+    for _ in range(40):
+        known = engines(4)
+        for engine in known[1:]:
+            engine.others_in_flight = 3
+        want = builders_serving.generation()
+        if spread_out:
+            want.rivals, want.draw = 40.0, rng.random()
+        choice = decide(want, known, POOL, PLACE, 0.0)
+        sent[known.index(choice.target)] += 1
+    return WORK_S * max(sent)
+
+
+def test_jump_does_not_end_at_one_engine():
+    """All instances chose the same engine until its load was told."""
+    assert worst_queue_s(spread_out=False) == pytest.approx(40 * WORK_S)
+    assert worst_queue_s(spread_out=True) < 16 * WORK_S
+
+
+def test_only_targets_that_can_be_on_time_are_drawn():
+    """Spreading must not send a request where it would be late."""
+    known = engines(2)
+    known[1].others_prompt_tokens = 30_000
+    want = builders_serving.generation(rivals=500.0)
+    for draw in (0.0, 0.5, 0.99):
+        want.draw = draw
+        assert decide(want, known, POOL, PLACE, 0.0).target is known[0]
+
+
+def test_rates_of_others():
+    """Of 4 instances the other 3 send three quarters of the demand."""
+    rates = SendRates()
+    assert rates.others("llm", "m1", 4, 0.0) == 0.0
+    rates.told({("llm", "m1"): 20.0}, 0.0)
+    assert rates.others("llm", "m1", 4, 1.0) == 15.0
+    assert rates.others("llm", "m1", 4, TOLD_VALID_S + 0.1) == 0.0
+    for _ in range(100):
+        rates.count("plain", 1.0)
+    assert rates.others("plain", "", 4, 1.0) == pytest.approx(150.0)
+    assert rates.others("plain", "", 4, 60.0) < 0.1
