Tell callers of absent models at once when their load comes too late

Cause: the request path never passed on to the decision what the order giver tells of loads, nor how long a request has waited.

Three tests fail without it.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -156,6 +156,7 @@
             orders,
             boot_clock,
             self._holdings_changed,
+            self._plan_changed,
             load_window_s,
             metrics,
         )
@@ -173,6 +174,7 @@
         self._loads_sent_at = float("-inf")
         self._told_holdings: dict[str, dict[str, list[str]]] = {}
         self._changed_holdings: dict[str, summaries.Holding] = {}
+        self._plan_news = False
         self._holdings_timer: asyncio.TimerHandle | None = None
         self._need_timer: asyncio.TimerHandle | None = None
         self._lease_changed = asyncio.Event()
@@ -554,6 +556,8 @@
             self._told_holdings.clear()
         self._take_holdings(board.holdings, now)
         self._avoid(board.unreachable, now)
+        if board.coming is not None:
+            self._take_coming(board.coming, now)
         if board.number <= self._board_number:
             return
         self._board_number = board.number
@@ -566,9 +570,6 @@
             self._serving.rates.told(
                 {(r.service, r.model): r.per_s for r in board.rates}, now
             )
-        self._serving.coming = {
-            (c.service, c.model): now + c.left_s for c in board.coming
-        }
         for load in board.loads:
             target = self._book.get(load.target)
             if target is None:
@@ -612,7 +613,21 @@
             if self._told_holdings.get(holding.target) != holding.models:
                 self._told_holdings[holding.target] = holding.models
                 self._changed_holdings[holding.target] = holding
-        if self._changed_holdings and self._holdings_timer is None:
+        if self._changed_holdings:
+            self._tell_soon()
+
+    def _plan_changed(self) -> None:
+        """Tells all instances soon which models are coming.
+
+        Load pattern: callers of a model that no engine holds wait for word
+        whether it is loaded in time; the next board comes up to 0.5 s later.
+        """
+        self._plan_news = True
+        self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        if self._holdings_timer is None:
+            loop = asyncio.get_running_loop()
             self._holdings_timer = loop.call_later(
                 HOLDINGS_DELAY_S, self._send_holdings
             )
@@ -621,11 +636,28 @@
         self._holdings_timer = None
         rows = list(self._changed_holdings.values())
         self._changed_holdings.clear()
-        for first in range(0, len(rows), MAX_HOLDINGS):
+        now = asyncio.get_running_loop().time()
+        coming = self._giver.coming(now) if self._plan_news else None
+        self._plan_news = False
+        if coming is not None:
+            self._take_coming(coming, now)
+        for first in range(0, max(1, len(rows)), MAX_HOLDINGS):
+            told = coming if first == 0 else None
             self._broadcast(
-                rows[first : first + MAX_HOLDINGS], [], numbered=False
+                rows[first : first + MAX_HOLDINGS],
+                [],
+                numbered=False,
+                coming=told,
             )
 
+    def _take_coming(self, coming: list[summaries.Coming], now: float) -> None:
+        changed = {(c.service, c.model): now + c.left_s for c in coming}
+        news = changed.keys() - self._serving.coming.keys()
+        self._serving.coming = changed
+        if news:
+            # Those that wait for a model learn when it will be usable.
+            self._serving.changed()
+
     def _send_board(self) -> None:
         now = asyncio.get_running_loop().time()
         for name, peer in list(self._peers.items()):
@@ -668,6 +700,7 @@
         loads: list[summaries.EngineLoad],
         numbered: bool,
         rates: list[summaries.Rate],
+        coming: list[summaries.Coming] | None = None,
     ) -> summaries.Board:
         self._number += numbered
         now = asyncio.get_running_loop().time()
@@ -677,7 +710,7 @@
             number=self._number if numbered else 0,
             holdings=holdings,
             loads=loads,
-            coming=self._giver.coming(now) if numbered else [],
+            coming=self._giver.coming(now) if numbered else coming,
             members=len(self._peers) + 1,
             store_revision=self._mirror.revision,
             store_age_s=-1.0 if self.stopping else age_s,
@@ -755,6 +788,7 @@
         loads: list[summaries.EngineLoad],
         numbered: bool,
         rates: Sequence[summaries.Rate] = (),
+        coming: list[summaries.Coming] | None = None,
     ) -> None:
-        board = self._board(holdings, loads, numbered, list(rates))
+        board = self._board(holdings, loads, numbered, list(rates), coming)
         self._send_all(summaries.encode(board))
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -46,6 +46,7 @@
         port: engineorders.OrderPort,
         boot_clock: Callable[[], float],
         on_holdings: Callable[[list[summaries.Holding]], None],
+        on_plan: Callable[[], None],
         load_window_s: float,
         metrics: telemetry.Metrics,
     ) -> None:
@@ -57,6 +58,7 @@
           port: Sends orders.
           boot_clock: Clock that includes the time of a suspended machine.
           on_holdings: Receives holdings that changed.
+          on_plan: Called when the models that are coming changed.
           load_window_s: Window in which loads from the store are counted.
           metrics: Counters.
         """
@@ -66,6 +68,7 @@
         self._port = port
         self._boot_clock = boot_clock
         self._on_holdings = on_holdings
+        self._on_plan = on_plan
         self._load_window_s = load_window_s
         self._metrics = metrics
         self._ledgers: dict[str, EngineLedger] = {}
@@ -374,6 +377,7 @@
                 waiting=known.waiting,
             )
             self._publish(ledger)
+            self._on_plan()
 
 
 def engine_state(
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -44,6 +44,8 @@
 # What others send is known this much later on average: boards come twice a
 # second, with what summaries told up to 0.5 s before.
 LOAD_AGE_S = 0.5
+# A load that should have ended this long ago is not counted on any more.
+LOAD_OVERDUE_S = 1.0
 # An instance that has just started reads the store within this time.
 START_RETRY_S = 0.4
 # Patience that is assumed of a caller that states none.
@@ -361,6 +363,9 @@
             )
             want.rivals = LOAD_AGE_S * others_per_s
             want.draw = self._rng.random()
+            want.load_left_s = self._load_left_s(want, now)
+            if call.awaiting:
+                want.waited_s = now - call.awaiting_since
             choice = targetchoice.decide(want, targets, pool, self._place, now)
             if isinstance(choice, targetchoice.Wait) and self.stops_at:
                 # What waits at the end of the process would get no answer.
@@ -389,6 +394,13 @@
             except TimeoutError:
                 pass  # The time of the next decision has come.
 
+    def _load_left_s(self, want: targetchoice.Want, now: float) -> float | None:
+        """Returns the seconds until a model that is loaded can be used."""
+        usable_at = self.coming.get((want.service, want.model))
+        if usable_at is None or now - usable_at > LOAD_OVERDUE_S:
+            return None
+        return max(0.0, usable_at - now)
+
     def _start_waiting(self, call: _Call, reason: str) -> None:
         want = call.want
         if not call.awaiting and reason in ("model", "adapter"):
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -137,7 +137,7 @@
       holdings: Engines whose holdings changed, and some others in turn.
       loads: Requests under way at some targets, over all instances; the
         receiver takes off its own.
-      coming: Models that are being loaded.
+      coming: Models that are being loaded; None if that is not news.
       members: Instances that sent summaries lately.
       store_revision: Revision up to which the order giver knows the store.
       store_age_s: Seconds since the store last answered it; negative if it
@@ -150,7 +150,7 @@
     number: int
     holdings: list[Holding]
     loads: list[EngineLoad]
-    coming: list[Coming]
+    coming: list[Coming] | None
     members: int
     store_revision: int = 0
     store_age_s: float = -1.0
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -40,7 +40,7 @@
 FAILING_S = 0.4
 # Part of a caller's time that it waits for the order giver to plan a load; then
 # no engine has room for the model, and the caller had better come back.
-UNPLANNED_WAIT = 0.2
+UNPLANNED_WAIT = 0.1
 # Part of a caller's time that it waits for an adapter: an engine that loads a
 # model takes no order for one.
 ADAPTER_WAIT = 0.5
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -439,7 +439,9 @@
     part = group.parts[first]
     await asyncio.sleep(0.1)
     told = []
-    part._broadcast = lambda holdings, loads, numbered: told.append(holdings)
+    part._broadcast = lambda holdings, loads, numbered, coming: told.append(
+        holdings
+    )
     rows = [summaries.Holding(f"e{n}", {"m1": ["a1"]}) for n in range(3)]
     for row in rows:
         part._holdings_changed([row])
@@ -450,6 +452,19 @@
     assert told == [rows]
 
 
+async def test_planned_load_is_told_at_once(group):
+    """Callers waited up to a second for word of a load that began."""
+    (first,) = group.holders()
+    giver = group.parts[first]._giver
+    giver.coming = lambda now: [summaries.Coming("llm", "m2", 5.0)]
+    now = asyncio.get_running_loop().time()
+    group.parts[first]._plan_changed()
+    await asyncio.sleep(0.05)
+    for path in group.served:
+        usable_at = path.coming["llm", "m2"]
+        assert usable_at == pytest.approx(now + 5.0, abs=0.1)
+
+
 async def test_urgent_summary_keeps_the_load(group):
     """What waits is told at once, and the load told before still counts."""
     target = group.served[0].book.get("e1")
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -339,12 +339,37 @@
         served.book.tell("e1", {"m1": frozenset()}, loop.time())
         served.changed()
 
+    served.coming["llm", "m1"] = loop.time() + 1.0
     loop.call_later(1.0, loaded)
     assert status(await generate(served)) == 200
     assert needs[0] == ("llm", "m1", "")
     assert not served.waiting
 
 
+async def test_request_for_a_model_that_nobody_loads_is_refused_soon():
+    """It was held until its caller's time was nearly over."""
+    served = request_path(table(stream_route()), engine_entry(models=()))
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    received = await generate(served)
+    assert status(received) == 503 and b"model_absent" in received
+    assert loop.time() - began < 0.2 * 5.0
+    assert not served.waiting
+
+
+async def test_request_for_a_model_that_comes_too_late_is_refused_at_once():
+    """The order giver had told that the load takes 9 s."""
+    served = request_path(table(stream_route()), engine_entry(models=()))
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    served.coming["llm", "m1"] = began + 9.0
+    received = await generate(served)
+    assert status(received) == 503 and b"model_loads_too_late" in received
+    retry_s = float(received.lower().split(b"retry-after: ")[1].split()[0])
+    assert retry_s >= 9.0
+    assert loop.time() - began < 0.1
+
+
 async def test_request_that_waits_at_a_stop_is_refused():
     """It got no answer when its instance ended (LOST)."""
     served = request_path(table(stream_route()), engine_entry(models=()))
