Plan model moves in time for the engines, not engines times models

Change: the cost of room at an engine is computed once for each size of model and again for engines that a move concerns; copies at hand are indexed; the ranking is a heap. Plans take a tenth of the processor's time at most.

--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -22,8 +22,9 @@
 """
 
 import dataclasses
+import heapq
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from carobsail import routetable
 
@@ -145,8 +146,29 @@
     net: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Room:
+    """What makes room for a model at an engine.
+
+    Attributes:
+      unload: Models that go.
+      loss: Requests that they lose.
+      blocked: Demand whose adapters no other free engine takes meanwhile.
+    """
+
+    unload: tuple[str, ...]
+    loss: float
+    blocked: float
+
+
 class _Plan:
-    """The state of one planning round."""
+    """The state of one planning round.
+
+    What a load costs at an engine depends on the engine and on the size and
+    load time of the model only, so it is computed once and again for the
+    engines that a move concerns: a round takes time for the engines and moves,
+    not for engines times models.
+    """
 
     def __init__(
         self,
@@ -165,7 +187,9 @@
         self.usable: dict[str, int] = {}
         self.places: dict[str, set[str]] = {}
         # Free engines by model, which take orders for its adapters.
-        self.open: dict[str, int] = {}
+        self.open: dict[str, set[str]] = {}
+        # Free engines by model of which they keep a copy at hand.
+        self._at_hand: dict[str, list[EngineState]] = {}
         for state in states:
             for model in state.models:
                 self.copies[model] = self.copies.get(model, 0) + 1
@@ -173,7 +197,18 @@
                     self.usable[model] = self.usable.get(model, 0) + 1
                 self.places.setdefault(model, set()).add(state.data_centre)
                 if state.free:
-                    self.open[model] = self.open.get(model, 0) + 1
+                    self.open.setdefault(model, set()).add(state.identity)
+            if state.free:
+                for model in state.in_memory | state.on_disk:
+                    self._at_hand.setdefault(model, []).append(state)
+        self._memory_mb = pool.model_memory_mb
+        self._sizes = {m.size_mb for m in pool.models.values()}
+        self._place_count = len({s.data_centre for s in states})
+        self._losses: dict[str, float] = {}
+        self._rooms: dict[tuple[str, float], _Room | None] = {}
+        # By size and load time of a model: engines by the cost of a load from
+        # the weight store, cheapest first.
+        self._cheapest: dict[tuple[float, float], list[tuple[float, str]]] = {}
 
     def gain(self, name: str) -> float:
         """Returns the requests that one more copy of a model gains."""
@@ -191,6 +226,12 @@
 
     def loss(self, name: str) -> float:
         """Returns the requests that one copy less of a model loses."""
+        loss = self._losses.get(name)
+        if loss is None:
+            loss = self._losses[name] = self._loss(name)
+        return loss
+
+    def _loss(self, name: str) -> float:
         known = self.demand.get(name, _NO_DEMAND)
         copies = self.usable.get(name, 0)
         if copies > 1:
@@ -238,54 +279,107 @@
         """Returns the best move that brings one more copy of a model."""
         model = self.pool.models[name]
         gain = self.gain(name)
+        crowded = (1.0 - (len(self.free) - 1) / len(self.states)) ** 2
+        per_s = LOAD_COST_PER_S + CROWDED_COST_PER_S * crowded
         best: Move | None = None
-        for state in self.free.values():
-            if name in state.models:
+        for state in self._at_hand.get(name, ()):
+            if state.identity not in self.free or name in state.models:
                 continue
+            load_s = model.disk_load_s
             if name in state.in_memory:
-                load_s, from_store = model.memory_load_s, False
-            elif name in state.on_disk:
-                load_s, from_store = model.disk_load_s, False
-            elif store_allowed:
-                load_s, from_store = model.store_load_s, True
-            else:
-                continue
-            room = self._room(state, model)
-            if room is None:
-                continue
-            unload, loss = room
-            crowded = (1.0 - (len(self.free) - 1) / len(self.states)) ** 2
-            per_s = LOAD_COST_PER_S + CROWDED_COST_PER_S * crowded
-            cost = loss + load_s * per_s + 0.002 * state.in_flight
-            cost += STORE_LOAD_COST * from_store
-            if state.data_centre in self.places.get(name, ()):
-                cost += SAME_PLACE_COST
-            cost += load_s * ADAPTER_MISSES * self._blocked(state, unload)
-            net = gain * self._in_time(name, load_s) - cost
-            if net >= MIN_GAIN and (best is None or net > best.net):
-                best = Move(state.identity, name, unload, from_store, net)
+                load_s = model.memory_load_s
+            base = self._base_cost(state, model.size_mb, load_s)
+            move = self._move(name, state, gain, base, load_s, per_s, False)
+            if move is not None and (best is None or move.net > best.net):
+                best = move
+        if not store_allowed:
+            return best
+        load_s = model.store_load_s
+        for state, base in self._candidates(name, model):
+            move = self._move(name, state, gain, base, load_s, per_s, True)
+            if move is not None and (best is None or move.net > best.net):
+                best = move
         return best
 
-    def _blocked(self, state: EngineState, unload: tuple[str, ...]) -> float:
-        """Returns the demand whose adapters no other free engine takes."""
-        blocked = 0.0
-        for name in state.models:
-            if name in unload or not self.pool.models[name].adapters:
+    def _candidates(
+        self, name: str, model: routetable.Model
+    ) -> Iterator[tuple[EngineState, float]]:
+        """Yields the engines at which a load from the store is cheapest.
+
+        They are the cheapest in a data centre that has a copy and the cheapest
+        in one that has none, which differ by a fixed cost.
+        """
+        key = (model.size_mb, model.store_load_s)
+        ranked = self._cheapest.get(key)
+        if ranked is None:
+            ranked = self._cheapest[key] = []
+            for state in self.free.values():
+                cost = self._base_cost(state, *key)
+                if cost is not None:
+                    ranked.append((cost, state.identity))
+            ranked.sort()
+        places = self.places.get(name, ())
+        everywhere = len(places) == self._place_count
+        seen: set[bool] = set()
+        for cost, identity in ranked:
+            if identity not in self.free:
                 continue
-            if self.open.get(name, 0) <= 1:
-                known = self.demand.get(name, _NO_DEMAND)
-                blocked += known.per_s + known.waiting
-        return blocked
-
-    def _room(
-        self, state: EngineState, model: routetable.Model
-    ) -> tuple[tuple[str, ...], float] | None:
-        """Returns the models to unload and the loss, or None."""
+            state = self.free[identity]
+            if name in state.models:
+                continue
+            if name in state.in_memory or name in state.on_disk:
+                continue
+            same_place = state.data_centre in places
+            if same_place not in seen:
+                seen.add(same_place)
+                yield state, cost
+            if not same_place or len(seen) == 2 or everywhere:
+                return  # All that follow cost more.
+
+    def _base_cost(
+        self, state: EngineState, size_mb: float, load_s: float
+    ) -> float | None:
+        """Returns the cost of room at an engine, or None without room."""
+        room = self._room(state, size_mb)
+        if room is None:
+            return None
+        cost = room.loss + 0.002 * state.in_flight
+        return cost + load_s * ADAPTER_MISSES * room.blocked
+
+    def _move(
+        self,
+        name: str,
+        state: EngineState,
+        gain: float,
+        base: float | None,
+        load_s: float,
+        per_s: float,
+        from_store: bool,
+    ) -> Move | None:
+        if base is None:
+            return None
+        cost = base + load_s * per_s + STORE_LOAD_COST * from_store
+        if state.data_centre in self.places.get(name, ()):
+            cost += SAME_PLACE_COST
+        net = gain * self._in_time(name, load_s) - cost
+        room = self._room(state, self.pool.models[name].size_mb)
+        if net < MIN_GAIN or room is None:
+            return None
+        return Move(state.identity, name, room.unload, from_store, net)
+
+    def _room(self, state: EngineState, size_mb: float) -> _Room | None:
+        """Returns what must go for a model of a size, or None."""
+        key = (state.identity, size_mb)
+        if key not in self._rooms:
+            self._rooms[key] = self._find_room(state, size_mb)
+        return self._rooms[key]
+
+    def _find_room(self, state: EngineState, size_mb: float) -> _Room | None:
         models = self.pool.models
         if any(name not in models for name in state.models):
             return None  # The size of what it holds is not known.
         used = sum(models[name].size_mb for name in state.models)
-        excess = used + model.size_mb - self.pool.model_memory_mb
+        excess = used + size_mb - self._memory_mb
         unload: list[str] = []
         loss = 0.0
         if excess > 0:
@@ -295,18 +389,53 @@
                 excess -= models[name].size_mb
                 if excess <= 0:
                     break
-        return (tuple(unload), loss) if excess <= 0 else None
+        if excess > 0:
+            return None
+        return _Room(tuple(unload), loss, self._blocked(state, unload))
+
+    def _blocked(self, state: EngineState, unload: list[str]) -> float:
+        """Returns the demand whose adapters no other free engine takes."""
+        blocked = 0.0
+        for name in state.models:
+            if name in unload or not self.pool.models[name].adapters:
+                continue
+            if len(self.open.get(name, ())) <= 1:
+                known = self.demand.get(name, _NO_DEMAND)
+                blocked += known.per_s + known.waiting
+        return blocked
 
     def apply(self, move: Move) -> None:
         """Takes a move into account for the next ones."""
         state = self.free.pop(move.engine)
+        concerned: set[str] = set()
         for name in state.models:
-            self.open[name] -= 1
+            self.open[name].discard(move.engine)
+            if len(self.open[name]) <= 1:
+                concerned |= self.open[name]
         for name in move.unload:
             self.copies[name] -= 1
             self.usable[name] -= 1
+            self._losses.pop(name, None)
+            concerned |= self.open[name]
         self.copies[move.load] = self.copies.get(move.load, 0) + 1
         self.places.setdefault(move.load, set()).add(state.data_centre)
+        self._reconsider(concerned)
+
+    def _reconsider(self, concerned: set[str]) -> None:
+        """Computes the costs of some engines anew."""
+        if not concerned:
+            return
+        for size_mb in self._sizes:
+            for identity in concerned:
+                self._rooms.pop((identity, size_mb), None)
+        for key, ranked in self._cheapest.items():
+            kept = [row for row in ranked if row[1] not in concerned]
+            for identity in concerned:
+                cost = self._base_cost(self.free[identity], *key)
+                if cost is not None:
+                    kept.append((cost, identity))
+            kept.sort()
+            self._cheapest[key] = kept
 
 
 def _unserved(per_s: float, copies: int) -> float:
@@ -334,23 +463,26 @@
     """
     state = _Plan(pool, list(engines), demand, now)
     moves: list[Move] = []
-    # Only models that are asked for can gain.
-    names = [name for name in demand if name in pool.models]
-    while state.free:
-        ranked = sorted(
-            ((state.gain(n), n) for n in names), key=lambda g: (-g[0], g[1])
-        )
-        move = None
-        for gain, name in ranked:
-            if gain < MIN_GAIN:
-                break
-            move = state.best_move(name, store_loads_left > 0)
-            if move is not None:
-                break
-            names.remove(name)
+    # Only models that are asked for can gain. A model whose best move does not
+    # pay is left out for the rest of the round.
+    gains = {name: state.gain(name) for name in demand if name in pool.models}
+    ranked = [(-gain, name) for name, gain in gains.items()]
+    heapq.heapify(ranked)
+    while state.free and ranked:
+        gain, name = heapq.heappop(ranked)
+        if -gain < MIN_GAIN:
+            break
+        if gains.get(name) != -gain:
+            continue  # An older figure of a model that was ranked anew.
+        move = state.best_move(name, store_loads_left > 0)
         if move is None:
-            return moves
+            del gains[name]
+            continue
         moves.append(move)
         store_loads_left -= move.from_store
         state.apply(move)
+        for changed in (name, *move.unload):
+            if changed in gains:
+                gains[changed] = state.gain(changed)
+                heapq.heappush(ranked, (-gains[changed], changed))
     return moves
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -22,6 +22,9 @@
 
 # Time between two rounds of planning.
 ROUND_S = 0.1
+# Part of the processor's time that plans of moves may take: the order giver
+# serves callers as well, and a plan for thousands of engines takes 0.1 s.
+PLAN_SHARE = 0.1
 # A model that is to be unloaded gets no new requests for this long before, so
 # that instances have heard of it.
 UNLOAD_NOTICE_S = 0.15
@@ -73,6 +76,7 @@
         self._metrics = metrics
         self._ledgers: dict[str, EngineLedger] = {}
         self._store_loads: list[float] = []
+        self._plan_at = float("-inf")
         self._term = 0
         self._pools: dict[str, dict[str, routetable.Model]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -131,10 +135,18 @@
             return
         self._read_engines(now)
         self._continue_orders(now)
-        for service in table.services.values():
-            if service.pool is not None:
-                self._order_adapters(service.name, service.pool, now)
-                self._plan_models(service.name, service.pool, now)
+        pools = [s for s in table.services.values() if s.pool is not None]
+        for service in pools:
+            assert service.pool is not None
+            self._order_adapters(service.name, service.pool, now)
+        if now < self._plan_at:
+            return
+        for service in pools:
+            assert service.pool is not None
+            self._plan_models(service.name, service.pool, now)
+        took_s = asyncio.get_running_loop().time() - now
+        self._metrics.time_ms("plan", 1000.0 * took_s)
+        self._plan_at = now + took_s / PLAN_SHARE
 
     def _end_term(self) -> None:
         if self._term:
--- a/tests/test_copyplan.py
+++ b/tests/test_copyplan.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from carobsail import copyplan
 from carobsail.copyplan import EngineState, ModelDemand, plan
 
 NOW = 100.0
@@ -191,3 +192,24 @@
     busy = {"m8": demand(4.0, waiting=9, objective_s=HURRIED)}
     moves = plan(pool(*names(9)), engines, rare | busy, 5, NOW)
     assert [m.load for m in moves] == ["m8"]
+
+
+def test_round_grows_with_the_engines_only(monkeypatch):
+    """A plan for 70 engines and 305 models took 0.12 s, ten times a second."""
+    found = []
+    original = copyplan._Plan._find_room
+
+    def count(plan_, state_, size_mb):
+        found.append(state_.identity)
+        return original(plan_, state_, size_mb)
+
+    monkeypatch.setattr(copyplan._Plan, "_find_room", count)
+    rare = [f"m{n}" for n in range(300)]
+    engines = [
+        state(f"e{n}", *(rare[(3 * n + k) % 300] for k in range(3)))
+        for n in range(80)
+    ]
+    wanted = {name: demand(0.2, waiting=n % 2) for n, name in enumerate(rare)}
+    moves = plan(pool(*names(300)), engines, wanted, 20, NOW)
+    assert len(moves) >= 10
+    assert len(found) < 3 * len(engines)
