Judge unreachable targets by region; ask the store later for the relay

The store dropped its history: the relay heard nothing for a second, all 88 instances asked the store, and the next configuration went to each of them over the link between the regions, which was full for seconds. Each region then saw the other's engines as away, and two data centres of one region were believed everywhere, so all load went to what was left.

Change: two instances of a region are believed within that region only. An instance asks the store itself 1.8 to 2.1 s after the relay's last contact instead of 1.2 s, within the 2.5 s in which a leaving target must be known.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -24,6 +24,7 @@
     storemirror,
     summaries,
     targetbook,
+    targetchoice,
     telemetry,
     unreachable,
 )
@@ -105,7 +106,7 @@
         self,
         me: orderlease.Holder,
         strong: bool,
-        data_centre: str,
+        place: targetchoice.Place,
         port: int,
         operator_port: int,
         turn_s: float,
@@ -124,7 +125,7 @@
         Args:
           me: This instance.
           strong: Whether it has the link and processor of an order giver.
-          data_centre: Its data centre.
+          place: Where it runs.
           port: Port of the datagrams, the same on all instances.
           operator_port: Port of operators and peers, the same on all.
           turn_s: Seconds between the orders of two instances.
@@ -141,7 +142,8 @@
         self.lease = orderlease.OrderLease(me, turn_s)
         self._me = me
         self._strong = strong
-        self._data_centre = data_centre
+        self._data_centre = place.data_centre
+        self._region = place.regions.get(place.data_centre, place.data_centre)
         self._port = port
         self._operator_port = operator_port
         self._store = store
@@ -160,7 +162,7 @@
             load_window_s,
             metrics,
         )
-        self._unreachable = unreachable.UnreachableTargets()
+        self._unreachable = unreachable.UnreachableTargets(place.regions)
         self._datagrams: datagrams.Datagrams | None = None
         self._incarnation = rng.getrandbits(48)
         self._number = 0
@@ -534,7 +536,7 @@
         """Takes over which targets are to be avoided."""
         for row in rows:
             target = self._book.get(row.target)
-            here = not row.data_centres or self._data_centre in row.data_centres
+            here = self._region in row.regions
             if target is None or not here or target.avoided_until > now:
                 continue
             target.avoided_until = now + row.left_s
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -460,6 +460,7 @@
             "request_sent",
             request=call.terms.request,
             target=target.entry.identity,
+            data_centre=target.entry.data_centre,
             entry_revision=target.entry.revision,
             table_version=self.table.version,  # type: ignore[union-attr]
             late=call.late,
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -90,10 +90,11 @@
         self._documents = documents
         self._metrics = telemetry.Metrics()
         self._book = targetbook.TargetBook()
+        place = targetchoice.Place(loaded.data_centre, loaded.regions)
         self._serving = serving.Serving(
             wire,
             self._book,
-            targetchoice.Place(loaded.data_centre, loaded.regions),
+            place,
             _budget_terms(loaded),
             self._metrics,
             rng,
@@ -109,7 +110,7 @@
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
             loaded.link_mbps >= STRONG_LINK_MBPS,
-            loaded.data_centre,
+            place,
             loaded.first_port,
             settings.parse_address(loaded.peers_listen)[1],
             loaded.order_turn_ms / 1000.0,
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -24,7 +24,12 @@
 # also when a connection went silent or the relay was cut off in between.
 WAIT_S = 2.0
 RELAY_WAIT_S = 0.5
-RELAY_VALID_S = 1.2
+# A store that drops its history lets the relay hear nothing for a second, beside
+# the 0.75 s between two calls. If all instances then ask the store, a change of
+# the configuration goes to each of them over the link between regions: 175 KB
+# to 44 instances fill it for 2 s.
+RELAY_VALID_S = 1.8
+RELAY_SPREAD_S = 0.3
 # A call that waits returns at the first change, and the 76 targets of a large
 # fleet renew their entries some 20 times a second; calls are billed. Changes of
 # this time are read together, far below the 2.5 s in which they must be known.
@@ -86,6 +91,7 @@
         "_gap",
         "_news",
         "_peers",
+        "_relay_valid_s",
         "_relayed_until",
         "contact_at",
         "reachable",
@@ -128,6 +134,7 @@
         self.reachable = False
         self.contact_at = float("-inf")
         self.relays = False
+        self._relay_valid_s = RELAY_VALID_S + rng.uniform(0.0, RELAY_SPREAD_S)
         self._relayed_until = float("-inf")
         self._gap = False
         self._news = asyncio.Event()
@@ -202,7 +209,7 @@
           age_s: Seconds since the store last answered the relay.
         """
         now = asyncio.get_running_loop().time()
-        self._relayed_until = now - age_s + RELAY_VALID_S
+        self._relayed_until = now - age_s + self._relay_valid_s
         if revision > self.revision:
             self._gap = True  # A message with changes was lost.
         self._news.set()
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -117,12 +117,12 @@
 
     Attributes:
       target: Identity of the target.
-      data_centres: Where it is to be avoided; everywhere if empty.
+      regions: Regions whose instances are to avoid it.
       left_s: Seconds for which it is to be avoided.
     """
 
     target: str
-    data_centres: list[str]
+    regions: list[str]
     left_s: float
 
 
--- a/carobsail/unreachable.py
+++ b/carobsail/unreachable.py
@@ -4,10 +4,12 @@
 find each of them out by itself, at the cost of a connection that does not open
 and, where the target is silent, of 0.4 s of its caller's time.
 
-One instance's evidence is not enough: its own link may be cut. Two instances
-of one data centre are believed within it, those of two data centres everywhere.
+One instance's evidence is not enough: its own link may be cut. Two instances of
+a region are believed within it: a full link between regions looks like targets
+that are away, but only from the other side.
 """
 
+import collections
 import dataclasses
 
 from carobsail import summaries
@@ -29,26 +31,32 @@
 class _Judgement:
     until: float
     avoid_s: float
-    everywhere: bool
-    places: frozenset[str]
+    regions: frozenset[str]
 
 
 class UnreachableTargets:
     """Evidence of all instances, and what follows from it."""
 
-    __slots__ = ("_evidence", "_judged")
+    __slots__ = ("_evidence", "_judged", "_regions")
 
-    def __init__(self) -> None:
-        # By target: data centre and time, by instance.
+    def __init__(self, regions: dict[str, str]) -> None:
+        """Creates a judge.
+
+        Args:
+          regions: Region of each data centre.
+        """
+        self._regions = regions
+        # By target: region and time, by instance.
         self._evidence: dict[str, dict[str, tuple[str, float]]] = {}
         self._judged: dict[str, _Judgement] = {}
 
     def take(self, summary: summaries.Summary, now: float) -> bool:
         """Takes over an instance's evidence; tells whether it is news."""
         news = False
+        region = self._regions.get(summary.data_centre, summary.data_centre)
         for target in summary.unreachable:
             rows = self._evidence.setdefault(target, {})
-            rows[summary.instance] = (summary.data_centre, now)
+            rows[summary.instance] = (region, now)
             news |= self._judge(target, now)
         return news
 
@@ -59,30 +67,23 @@
             if now - row[1] < EVIDENCE_VALID_S
         }
         self._evidence[target] = rows
-        by_place: dict[str, int] = {}
-        for place, _ in rows.values():
-            by_place[place] = by_place.get(place, 0) + 1
-        everywhere = len(by_place) >= CONFIRMATIONS
-        places = frozenset(
-            place for place, n in by_place.items() if n >= CONFIRMATIONS
+        counts = collections.Counter(region for region, _ in rows.values())
+        regions = frozenset(
+            region for region, n in counts.items() if n >= CONFIRMATIONS
         )
-        if not everywhere and not places:
+        if not regions:
             return False
         known = self._judged.get(target)
         if known is not None and now < known.until:
-            wider = (everywhere and not known.everywhere) or (
-                not known.everywhere and not places <= known.places
-            )
-            if not wider:
+            if regions <= known.regions:
                 return False
+            regions |= known.regions
         avoid_s = FIRST_AVOID_S
         if known is not None and now - known.until < FORGET_S:
             avoid_s = known.avoid_s
             if now >= known.until:
                 avoid_s = min(MAX_AVOID_S, 2.0 * avoid_s)
-        self._judged[target] = _Judgement(
-            now + avoid_s, avoid_s, everywhere, places
-        )
+        self._judged[target] = _Judgement(now + avoid_s, avoid_s, regions)
         return True
 
     def judged(self, now: float) -> list[summaries.Unreachable]:
@@ -91,8 +92,8 @@
         for target, known in list(self._judged.items()):
             left_s = known.until - now
             if left_s > 0.0:
-                places = [] if known.everywhere else sorted(known.places)
-                found.append(summaries.Unreachable(target, places, left_s))
+                regions = sorted(known.regions)
+                found.append(summaries.Unreachable(target, regions, left_s))
             elif -left_s > FORGET_S:
                 del self._judged[target]
                 self._evidence.pop(target, None)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,11 +1,13 @@
 """Guards what instances do together, on joined instances in memory."""
 
 import asyncio
+import dataclasses
 import random
 
 import msgspec
 import pytest
 from builders_serving import (
+    PLACE,
     engine_entry,
     model,
     pool,
@@ -165,7 +167,9 @@
             part = coordination.Coordination(
                 orderlease.Holder(f"i{number}", f"10.0.0.{number}"),
                 number != 0,
-                "dc-a" if number < 2 else "dc-b",
+                dataclasses.replace(
+                    PLACE, data_centre="dc-a" if number < 2 else "dc-b"
+                ),
                 7000,
                 7001,
                 TURN_S,
