Let callers with time wait for a rare model

Cause: since waits reach the decision, callers of models that nobody loads were refused after a tenth of their time.

Change: while a load from the weight store can still end in time the request waits; otherwise as before. The test fails without it.

--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -24,8 +24,8 @@
 # also when a connection went silent or the relay was cut off in between.
 WAIT_S = 2.0
 RELAY_WAIT_S = 0.5
-# A store that drops its history lets the relay hear nothing for a second, beside
-# the 0.75 s between two calls. If all instances then ask the store, a change of
+# A store that drops its history lets the relay hear nothing for a second,
+# beside the 0.75 s between two calls. If all instances then ask the store, a change of
 # the configuration goes to each of them over the link between regions: 175 KB
 # to 44 instances fill it for 2 s.
 RELAY_VALID_S = 1.8
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -8,7 +8,9 @@
   that can, and is served when there is room; one whose predicted first event
   comes after its caller has left is refused at once.
 - A model that no engine holds: the request waits only while a load can end
-  before its caller leaves.
+  before its caller leaves. Callers of rare models who have time wait for each
+  other: an engine that loads for 9 s serves all who wait by then, and the
+  engines together begin 8 loads a second for 25 requests.
 - Equal targets far away: a link between regions is billed and slow, so the
   own data centre goes first until its predicted time is worse by more than
   the link costs.
@@ -38,8 +40,8 @@
 OTHER_REGION_S = 0.08
 # Cost in seconds of a target that fails all of its requests.
 FAILING_S = 0.4
-# Part of a caller's time that it waits for the order giver to plan a load; then
-# no engine has room for the model, and the caller had better come back.
+# Part of a caller's time that it waits for the order giver to plan a load, if
+# only a copy at hand could come in time; then the caller had better come back.
 UNPLANNED_WAIT = 0.1
 # Part of a caller's time that it waits for an adapter: an engine that loads a
 # model takes no order for one.
@@ -263,11 +265,11 @@
         if want.load_left_s + FIRST_EVENT_S > left_s:
             return Refuse("model_loads_too_late", _retry_s(want.load_left_s))
         return Wait("model", now + min(left_s, 0.5))
-    # A copy at hand is the common case; a load from the store may still end
-    # in time for callers with a long deadline.
-    too_long = want.waited_s > UNPLANNED_WAIT * (want.waited_s + left_s)
-    if left_s < model.memory_load_s or too_long:
-        return Refuse("model_absent", _retry_s(model.disk_load_s))
+    if left_s < model.store_load_s + FIRST_EVENT_S:
+        # Only a copy at hand would come in time, and that is planned at once.
+        too_long = want.waited_s > UNPLANNED_WAIT * (want.waited_s + left_s)
+        if left_s < model.memory_load_s or too_long:
+            return Refuse("model_absent", _retry_s(model.disk_load_s))
     return Wait("model", now + min(left_s, 0.5))
 
 
--- a/tests/test_targetchoice.py
+++ b/tests/test_targetchoice.py
@@ -114,6 +114,16 @@
     assert isinstance(decide(waited, [empty], POOL, PLACE, 1.5), Refuse)
 
 
+def test_patient_callers_of_a_rare_model_wait_for_each_other():
+    """58 of 100 of them were refused after 2 s; a load takes 9 s."""
+    empty = Target(engine_entry(models=()))
+    patient = generation(waited_s=8.0)
+    patient.due_at = 20.0
+    assert isinstance(decide(patient, [empty], POOL, PLACE, 8.0), Wait)
+    patient.waited_s = 11.5
+    assert isinstance(decide(patient, [empty], POOL, PLACE, 11.5), Refuse)
+
+
 def test_absent_adapter_waits_for_the_order_giver():
     """An engine refuses a request for an adapter that it does not hold."""
     request = generation(adapter="a1")
