--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -25,9 +25,9 @@
 WAIT_S = 2.0
 RELAY_WAIT_S = 0.5
 # A store that drops its history lets the relay hear nothing for a second,
-# beside the 0.75 s between two calls. If all instances then ask the store, a change of
-# the configuration goes to each of them over the link between regions: 175 KB
-# to 44 instances fill it for 2 s.
+# beside the 0.75 s between two calls. If all instances ask the store then, a
+# change of the configuration goes to each of them over the link between
+# regions: 175 KB to 44 instances fill it for 2 s.
 RELAY_VALID_S = 1.8
 RELAY_SPREAD_S = 0.3
 # A call that waits returns at the first change, and the 76 targets of a large
