Split lease keeping, members and the relay of changes off coordination

No behaviour changes: 800 lines had four tasks. coordination keeps summaries and boards; leasekeeper takes and renews the order lease; members knows the other instances and sends to them; changerelay passes the store's changes on.

--- /dev/null
+++ b/carobsail/changerelay.py
@@ -0,0 +1,88 @@
+"""Passes changes of the store on to the other instances."""
+
+from carobsail import members, storemirror, summaries
+
+# Keeps a message in one datagram; a longer value is read from an instance.
+MAX_CHANGE_BYTES = 1200
+
+
+class ChangeRelay:
+    """Sends changes of the store as the order giver."""
+
+    __slots__ = ("_address", "_data_centre", "_members", "_operator_port")
+
+    def __init__(
+        self,
+        address: str,
+        data_centre: str,
+        operator_port: int,
+        known: members.Members,
+    ) -> None:
+        """Creates a relay.
+
+        Args:
+          address: IP address of this instance.
+          data_centre: Its data centre.
+          operator_port: Port of operators and peers, the same on all.
+          known: The other instances.
+        """
+        self._address = address
+        self._data_centre = data_centre
+        self._operator_port = operator_port
+        self._members = known
+
+    def send(
+        self, fence: int, changes: storemirror.Changes, before: int, after: int
+    ) -> None:
+        """Tells all instances what changed in the store.
+
+        Args:
+          fence: Fencing number of the order giver.
+          changes: The changes that are news to others.
+          before: Revision before them.
+          after: Revision up to which this instance's copy is complete.
+        """
+        rows: list[summaries.Change] = []
+        size = 0
+        for change in changes:
+            value = change.value
+            omitted = len(value or b"") > MAX_CHANGE_BYTES
+            row = summaries.Change(
+                change.key,
+                None if omitted else value,
+                change.mod_revision,
+                omitted,
+            )
+            length = len(row.key) + len(row.value or b"")
+            if rows and size + length > MAX_CHANGE_BYTES:
+                self._send(fence, rows, before, rows[-1].revision)
+                before, rows, size = rows[-1].revision, [], 0
+            rows.append(row)
+            size += length
+        if rows or after > before:
+            self._send(fence, rows, before, after)
+
+    def _send(
+        self,
+        fence: int,
+        rows: list[summaries.Change],
+        before: int,
+        after: int,
+    ) -> None:
+        """Sends changes; one instance of each data centre asks the store."""
+        for place, peers in self._members.by_data_centre().items():
+            if place == self._data_centre:
+                first = ""
+                source = f"{self._address}:{self._operator_port}"
+            else:
+                first = peers[0].address
+                source = f"{first}:{self._operator_port}"
+            for peer in peers:
+                message = summaries.StoreChanges(
+                    fence=fence,
+                    before=before,
+                    after=after,
+                    changes=rows,
+                    source="" if peer.address == first else source,
+                )
+                self._members.send(message, peer.address)
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -5,19 +5,18 @@
 """
 
 import asyncio
-import dataclasses
 import logging
 import random
 from collections.abc import Callable, Coroutine, Sequence
 
-import msgspec
-
 from carobsail import (
+    changerelay,
     datagrams,
     demandbook,
     engineorders,
-    errors,
     keyvalue,
+    leasekeeper,
+    members,
     ordergiver,
     orderlease,
     serving,
@@ -59,19 +58,6 @@
 MAX_HOLDINGS = 10
 # Rows of one datagram, which keeps it below 1,400 bytes.
 MAX_ROWS = 40
-MAX_CHANGE_BYTES = 1200
-# Spreads the instances that try to take the order lease.
-TAKE_SPREAD_S = 0.4
-# The holder's link carries summaries of and boards to all instances: one with a
-# narrow link, or with little processor time, lets the others go first.
-WEAK_WAIT_S = 0.6
-RETRY_S = 0.3
-# The store answers in 4 ms; after this the holder also asks other instances to
-# renew its lease, and waits so long for them.
-RELAY_AFTER_S = 0.15
-RELAY_WAIT_S = 0.5
-RELAY_PEERS = 3
-
 # A loop that is this late has no processor time, or the machine was stopped;
 # what callers do is then noticed late as well.
 LATE_LOG_S = 0.25
@@ -81,15 +67,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Peer:
-    """An instance that sent a summary."""
-
-    address: str
-    data_centre: str
-    heard_at: float
-
-
 def _relayed(change: summaries.Change) -> storemirror.RelayedChange:
     event = keyvalue.WatchEvent(change.key, change.value, change.revision)
     return storemirror.RelayedChange(event, change.omitted)
@@ -100,6 +77,7 @@
 
     Attributes:
       lease: The order lease as this instance knows it.
+      keeper: Takes and renews the lease.
     """
 
     def __init__(
@@ -139,18 +117,30 @@
           metrics: Counters.
           rng: Source of jitter.
         """
-        self.lease = orderlease.OrderLease(me, turn_s)
+        self._members = members.Members(port)
+        self.keeper = leasekeeper.LeaseKeeper(
+            me,
+            strong,
+            turn_s,
+            store,
+            self._members,
+            boot_clock,
+            rng,
+            self._turn_changed,
+        )
+        self.lease = self.keeper.lease
+        self._relay = changerelay.ChangeRelay(
+            me.address, place.data_centre, operator_port, self._members
+        )
         self._me = me
         self._strong = strong
         self._data_centre = place.data_centre
         self._region = place.regions.get(place.data_centre, place.data_centre)
         self._port = port
         self._operator_port = operator_port
-        self._store = store
         self._book = book
         self._serving = served
         self._mirror = mirror
-        self._boot_clock = boot_clock
         self._rng = rng
         self._giver = ordergiver.OrderGiver(
             self.lease,
@@ -163,11 +153,9 @@
             metrics,
         )
         self._unreachable = unreachable.UnreachableTargets(place.regions)
-        self._datagrams: datagrams.Datagrams | None = None
         self._incarnation = rng.getrandbits(48)
         self._number = 0
         self._reported: dict[str, summaries.EngineLoad] = {}
-        self._peers: dict[str, _Peer] = {}
         self._board_fence = 0
         self._board_number = 0
         self._told_loads: dict[str, float] = {}
@@ -179,205 +167,40 @@
         self._plan_news = False
         self._holdings_timer: asyncio.TimerHandle | None = None
         self._need_timer: asyncio.TimerHandle | None = None
-        self._lease_changed = asyncio.Event()
         self._told_demand: dict[tuple[str, str], tuple[int, int]] = {}
-        self._renewals: dict[int, asyncio.Future[float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self.stopping = False
 
     async def open(self) -> None:
         """Opens the socket."""
         loop = asyncio.get_running_loop()
-        _, self._datagrams = await loop.create_datagram_endpoint(
+        _, self._members.datagrams = await loop.create_datagram_endpoint(
             lambda: datagrams.Datagrams(self._received),
             local_addr=(self._me.address, self._port),
         )
 
     def close(self) -> None:
         """Closes the socket."""
-        if self._datagrams is not None:
-            self._datagrams.close()
+        if self._members.datagrams is not None:
+            self._members.datagrams.close()
 
     def observe(self, event: keyvalue.WatchEvent) -> None:
         """Takes over a change of the order lease's key."""
-        if self.lease.observe(event):
-            holder = self.lease.holder
-            telemetry.log(
-                _log,
-                "order_giver_changed",
-                holder=holder.instance if holder else "",
-                revision=event.mod_revision,
-            )
+        self.keeper.observe(event)
         holder = self.lease.holder
         self._mirror.relay_address = (
             f"{holder.address}:{self._operator_port}" if holder else ""
         )
-        self._lease_changed.set()
-
-    # The order lease.
-
-    async def keep_lease(self) -> None:
-        """Takes and renews the order lease until cancelled."""
-        while True:
-            self._lease_changed.clear()
-            self._mirror.relays = bool(self.lease.fence)
-            if self.lease.fence:
-                await self._renew()
-            elif self.lease.may_take() and not self.stopping:
-                await self._take()
-            try:
-                async with asyncio.timeout(
-                    orderlease.RENEWAL_S if self.lease.fence else 5.0
-                ):
-                    await self._lease_changed.wait()
-            except TimeoutError:
-                pass  # The time of the next renewal or attempt has come.
-
-    async def _take(self) -> None:
-        if self.lease.holder is None:
-            wait_s = self._rng.uniform(0.0, TAKE_SPREAD_S)
-            await asyncio.sleep(wait_s + (0.0 if self._strong else WEAK_WAIT_S))
-            if not self.lease.may_take():
-                return
-        sent_at = self._boot_clock()
-        lease = await self._store.grant_lease(orderlease.LEASE_S)
-        if isinstance(lease, errors.Failure):
-            await asyncio.sleep(RETRY_S)
-            self._lease_changed.set()
-            return
-        if not self.lease.may_take():
-            return
-        again = self.lease.holder is not None and self.lease.holder.acting
-        result = await self._write_key(again, lease)
-        if isinstance(result, errors.Failure) or not result.succeeded:
-            # If it took effect all the same, the watch shows the key.
-            await asyncio.sleep(RETRY_S)
-            return
-        self.lease.taken(lease, result.revision, sent_at)
-        telemetry.log(
-            _log,
-            "order_lease_taken",
-            fence=result.revision,
-            first_order_in_s=self.lease.first_order_at - self._boot_clock(),
-        )
-
-    async def _write_key(
-        self, acting: bool, lease: int
-    ) -> keyvalue.TransactionResult | errors.Failure:
-        """Writes the key with this instance as the holder."""
-        key = orderlease.ORDER_GIVER_KEY
-        value = msgspec.structs.replace(self._me, acting=acting)
-        return await self._store.transact(
-            [keyvalue.Compare(key, self.lease.key_revision)],
-            [keyvalue.Put(key, msgspec.json.encode(value), lease)],
-        )
-
-    async def _renew(self) -> None:
-        sent_at = self._boot_clock()
-        if sent_at >= self.lease.valid_until:
-            telemetry.log(_log, "order_lease_lost", fence=self.lease.fence)
-            self.lease.lose()
-            return
-        ttl_s = await self._renew_any(self.lease.lease)
-        if isinstance(ttl_s, errors.Failure):
-            telemetry.log(
-                _log,
-                "order_lease_not_renewed",
-                reason=str(ttl_s.reason),
-                left_s=self.lease.valid_until - self._boot_clock(),
-            )
-            await asyncio.sleep(RETRY_S)
-            self._lease_changed.set()
-            return
-        self.lease.renewed(ttl_s, sent_at)
-        if self.lease.must_announce(self._boot_clock()):
-            await self._announce()
-
-    async def _renew_any(self, lease: int) -> float | errors.Failure:
-        """Renews a lease, through another instance if need be.
-
-        Load pattern: the holder alone is cut off from the store, or is turned
-        away by it, while the others reach it. Without their help no engine
-        would get an order for the rest of the lease and the turn.
-        """
-        direct = asyncio.create_task(self._store.keep_lease(lease))
-        relayed: asyncio.Future[float] | None = None
-        try:
-            await asyncio.wait({direct}, timeout=RELAY_AFTER_S)
-            if direct.done() and not isinstance(
-                direct.result(), errors.Failure
-            ):
-                return direct.result()
-            relayed = self._ask_renewal(lease)
-            pending: set[asyncio.Future[float | errors.Failure]]
-            pending = {relayed, direct}  # type: ignore[arg-type]
-            if direct.done():
-                pending = {relayed}  # type: ignore[arg-type]
-            await asyncio.wait(
-                pending, timeout=RELAY_WAIT_S, return_when="FIRST_COMPLETED"
-            )
-            if relayed.done():
-                telemetry.log(_log, "order_lease_renewed_by_peer")
-                return relayed.result()
-            if direct.done():
-                return direct.result()
-            return errors.Failure(
-                errors.Reason.TIMEOUT,
-                errors.Step.KEY_VALUE,
-                "store",
-                errors.Outcome.UNKNOWN,
-                "neither the store nor a peer answered",
-            )
-        finally:
-            direct.cancel()
-            if relayed is not None:
-                self._renewals.clear()
-
-    def _ask_renewal(self, lease: int) -> asyncio.Future[float]:
-        """Asks some instances to renew a lease."""
-        answer = asyncio.get_running_loop().create_future()
-        peers = list(self._peers.values())
-        self._rng.shuffle(peers)
-        self._number += 1
-        self._renewals[self._number] = answer
-        data = summaries.encode(
-            summaries.RenewalRequest(lease=lease, number=self._number)
-        )
-        for peer in peers[:RELAY_PEERS]:
-            if self._datagrams is not None:
-                self._datagrams.send(data, (peer.address, self._port))
-        return answer
-
-    async def _renew_for(
-        self, request: summaries.RenewalRequest, address: str
-    ) -> None:
-        """Renews a lease for another instance."""
-        ttl_s = await self._store.keep_lease(request.lease)
-        if not isinstance(ttl_s, errors.Failure) and self._datagrams:
-            answer = summaries.RenewalAnswer(
-                number=request.number,
-                ttl_s=ttl_s,
-                store_revision=self._mirror.revision,
-            )
-            self._datagrams.send(
-                summaries.encode(answer), (address, self._port)
-            )
 
-    async def _announce(self) -> None:
-        """Lets the key say that orders follow, before the first one."""
-        result = await self._write_key(True, self.lease.lease)
-        if not isinstance(result, errors.Failure) and result.succeeded:
-            self.lease.announced(result.revision)
+    def _turn_changed(self, held: bool) -> None:
+        self._mirror.relays = held
 
     async def hand_over(self) -> None:
         """Gives the order lease back before the instance stops."""
-        self.stopping = True
-        lease = self.lease.lease
+        self.keeper.stopping = True
         if self.lease.fence:
             # From now on the others follow the store themselves.
             self._broadcast([], [], numbered=True)
-            self.lease.lose()
-            await self._store.revoke_lease(lease)
+        await self.keeper.give_back()
 
     # Orders and boards.
 
@@ -453,10 +276,8 @@
         holder = self.lease.holder
         if self.lease.fence:
             self._take_summary(summary, now)
-        elif holder is not None and self._datagrams is not None:
-            self._datagrams.send(
-                summaries.encode(summary), (holder.address, self._port)
-            )
+        elif holder is not None:
+            self._members.send(summary, holder.address)
 
     def _own_loads(self) -> list[summaries.EngineLoad]:
         loads = [
@@ -495,8 +316,8 @@
         now = asyncio.get_running_loop().time()
         if isinstance(message, summaries.Summary):
             if self.lease.fence:
-                self._peers[message.instance] = _Peer(
-                    address[0], message.data_centre, now
+                self._members.heard(
+                    message.instance, address[0], message.data_centre, now
                 )
                 self._take_summary(message, now)
         elif isinstance(message, summaries.Board):
@@ -510,14 +331,16 @@
                     message.source,
                 )
         elif isinstance(message, summaries.RenewalRequest):
-            self._start(self._renew_for(message, address[0]))
+            self._start(
+                self.keeper.renew_for(
+                    message, address[0], self._mirror.revision
+                )
+            )
         elif isinstance(message, summaries.RenewalAnswer):
             if message.store_revision > self._mirror.revision:
                 source = f"{address[0]}:{self._operator_port}"
                 self._start(self._mirror.catch_up(source))
-            renewal = self._renewals.pop(message.number, None)
-            if renewal is not None and not renewal.done():
-                renewal.set_result(message.ttl_s)
+            self.keeper.take_answer(message)
         else:
             telemetry.log(
                 _log,
@@ -662,9 +485,7 @@
 
     def _send_board(self) -> None:
         now = asyncio.get_running_loop().time()
-        for name, peer in list(self._peers.items()):
-            if now - peer.heard_at > demandbook.SUMMARY_VALID_S:
-                del self._peers[name]
+        self._members.expire(now - demandbook.SUMMARY_VALID_S)
         known = self._giver.holdings()
         start = self._turn % max(1, len(known))
         repeated = (known + known)[start : start + REPEATED_HOLDINGS]
@@ -683,7 +504,7 @@
         per_peer_s = LOADS_S_PER_PEER
         if self._strong:
             per_peer_s = STRONG_LOADS_S_PER_PEER
-        if now - self._loads_sent_at < per_peer_s * len(self._peers):
+        if now - self._loads_sent_at < per_peer_s * len(self._members):
             loads = []
         else:
             self._loads_sent_at = now
@@ -713,9 +534,9 @@
             holdings=holdings,
             loads=loads,
             coming=self._giver.coming(now) if numbered else coming,
-            members=len(self._peers) + 1,
+            members=len(self._members) + 1,
             store_revision=self._mirror.revision,
-            store_age_s=-1.0 if self.stopping else age_s,
+            store_age_s=-1.0 if self.keeper.stopping else age_s,
             unreachable=self._unreachable.judged(now),
             rates=rates,
         )
@@ -730,59 +551,8 @@
           before: Revision before them.
           after: Revision up to which this instance's copy is complete.
         """
-        if not self.lease.fence or self._datagrams is None:
-            return
-        rows: list[summaries.Change] = []
-        size = 0
-        for change in changes:
-            value = change.value
-            omitted = len(value or b"") > MAX_CHANGE_BYTES
-            row = summaries.Change(
-                change.key,
-                None if omitted else value,
-                change.mod_revision,
-                omitted,
-            )
-            length = len(row.key) + len(row.value or b"")
-            if rows and size + length > MAX_CHANGE_BYTES:
-                self._send_changes(rows, before, rows[-1].revision)
-                before, rows, size = rows[-1].revision, [], 0
-            rows.append(row)
-            size += length
-        if rows or after > before:
-            self._send_changes(rows, before, after)
-
-    def _send_changes(
-        self, rows: list[summaries.Change], before: int, after: int
-    ) -> None:
-        """Sends changes; one instance of each data centre asks the store."""
-        assert self._datagrams is not None
-        by_place: dict[str, list[_Peer]] = {}
-        for _, peer in sorted(self._peers.items()):
-            by_place.setdefault(peer.data_centre, []).append(peer)
-        for place, peers in by_place.items():
-            if place == self._data_centre:
-                first = ""
-                source = f"{self._me.address}:{self._operator_port}"
-            else:
-                first = peers[0].address
-                source = f"{first}:{self._operator_port}"
-            for peer in peers:
-                message = summaries.StoreChanges(
-                    fence=self.lease.fence,
-                    before=before,
-                    after=after,
-                    changes=rows,
-                    source="" if peer.address == first else source,
-                )
-                self._datagrams.send(
-                    summaries.encode(message), (peer.address, self._port)
-                )
-
-    def _send_all(self, data: bytes) -> None:
-        if self._datagrams is not None:
-            for peer in self._peers.values():
-                self._datagrams.send(data, (peer.address, self._port))
+        if self.lease.fence:
+            self._relay.send(self.lease.fence, changes, before, after)
 
     def _broadcast(
         self,
@@ -793,4 +563,4 @@
         coming: list[summaries.Coming] | None = None,
     ) -> None:
         board = self._board(holdings, loads, numbered, list(rates), coming)
-        self._send_all(summaries.encode(board))
+        self._members.send_all(board)
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -170,7 +170,7 @@
         ]
         self._start_duty(peersnapshot.adopt(self._mirror, others))
         self._start_duty(self._mirror.run())
-        self._start_duty(self._coordination.keep_lease())
+        self._start_duty(self._coordination.keeper.run())
         self._start_duty(self._coordination.run_rounds())
         self._start_duty(self._coordination.run_summaries())
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -183,7 +183,7 @@
                 telemetry.Metrics(),
                 random.Random(number),
             )
-            part._datagrams = Wire(self, number)
+            part._members.datagrams = Wire(self, number)
             served.on_need = part.need
             served.on_unreachable = part.report_soon
             self.parts.append(part)
@@ -191,7 +191,7 @@
             self.served.append(served)
             self.tasks.append(
                 [
-                    asyncio.create_task(part.keep_lease()),
+                    asyncio.create_task(part.keeper.run()),
                     asyncio.create_task(part.run_rounds()),
                     asyncio.create_task(part.run_summaries()),
                     asyncio.create_task(mirror.run()),
@@ -417,7 +417,7 @@
     """Each of 20 entries a second went to 88 instances, with its 600 bytes."""
     (first,) = group.holders()
     sent = []
-    wire = group.parts[first]._datagrams
+    wire = group.parts[first]._members.datagrams
     wire.send = lambda data, address: (
         sent.append(data),
         Wire.send(wire, data, address),
