Tell a large fleet the load of its own region only; measure the new design

Cause: at 330 instances and 12,000 engines the boards would take 82 KB/s of each instance and 26.8 MB/s of the order giver. Beside, a target that became idle was listed with zeros only in the next board, also when that carried no loads.

Change: beyond 200 targets an instance hears of the first 40 and of those of its region. bench.platformnode (part platform of bench.all) measures messages, plans and the imported program.

--- a/bench/all.py
+++ b/bench/all.py
@@ -29,6 +29,7 @@
     links,
     page,
     placement,
+    platformnode,
     processes,
     relay,
     routing,
@@ -133,6 +134,11 @@
     "placement": Part(
         _placement, {"duration_s": placement.DURATION_S}, (SEED,)
     ),
+    "platform": Part(
+        lambda: platformnode.run(SEED),
+        {"instances_and_engines": platformnode.SIZES},
+        (SEED,),
+    ),
     "processes": Part(
         processes.run,
         {
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 
 from carobsail import (
     changerelay,
@@ -56,6 +56,9 @@
 # all instances, and adapters come and go 20 times a second.
 HOLDINGS_DELAY_S = 0.03
 MAX_HOLDINGS = 10
+# From this number of targets on, an instance hears only of those of its region:
+# 12,000 rows for 330 instances would take 27 MB/s of the order giver's link.
+MAX_SHARED_LOADS = 200
 # Rows of one datagram, which keeps it below 1,400 bytes.
 MAX_ROWS = 40
 # A loop that is this late has no processor time, or the machine was stopped;
@@ -134,6 +137,7 @@
         )
         self._me = me
         self._strong = strong
+        self._place = place
         self._data_centre = place.data_centre
         self._region = place.regions.get(place.data_centre, place.data_centre)
         self._port = port
@@ -490,31 +494,53 @@
         start = self._turn % max(1, len(known))
         repeated = (known + known)[start : start + REPEATED_HOLDINGS]
         self._turn += REPEATED_HOLDINGS
+        per_peer_s = LOADS_S_PER_PEER
+        if self._strong:
+            per_peer_s = STRONG_LOADS_S_PER_PEER
+        due = now - self._loads_sent_at >= per_peer_s * len(self._members)
+        loads = self._loads(now) if due else []
+        rates = self._giver.demand.rates(LEAST_RATE_PER_S) if due else []
+        own = self._board(repeated[: len(known)], loads, True, rates)
+        self._take_board(own, now)
+        self._members.send_all(
+            self._board(repeated[: len(known)], loads[:MAX_ROWS], True, rates)
+        )
+        if len(loads) <= MAX_SHARED_LOADS:
+            self._send_loads(loads[MAX_ROWS:], None)
+            return
+        regions = self._place.regions
+        by_region: dict[str, list[summaries.EngineLoad]] = {}
+        for load in loads[MAX_ROWS:]:
+            target = self._book.get(load.target)
+            if target is not None:
+                place = target.entry.data_centre
+                rows = by_region.setdefault(regions.get(place, place), [])
+                rows.append(load)
+        for region, rows in by_region.items():
+            self._send_loads(rows, region)
+
+    def _loads(self, now: float) -> list[summaries.EngineLoad]:
+        """Returns the load of all targets that changed or have some."""
+        self._loads_sent_at = now
         totals = self._giver.demand.loads(now)
         # A target that became idle is listed once more, with zeros.
         idle = self._listed_loads - totals.keys()
         self._listed_loads = set(totals)
-        loads = [
+        return [
             *totals.values(),
             *(summaries.EngineLoad(name, 0, 0, 0) for name in idle),
         ]
-        rates = self._giver.demand.rates(LEAST_RATE_PER_S)
-        own = self._board(repeated[: len(known)], loads, True, rates)
-        self._take_board(own, now)
-        per_peer_s = LOADS_S_PER_PEER
-        if self._strong:
-            per_peer_s = STRONG_LOADS_S_PER_PEER
-        if now - self._loads_sent_at < per_peer_s * len(self._members):
-            loads = []
-        else:
-            self._loads_sent_at = now
-        for first in range(0, max(1, len(loads)), MAX_ROWS):
+
+    def _send_loads(
+        self, loads: list[summaries.EngineLoad], region: str | None
+    ) -> None:
+        """Sends loads to the instances of a region, or to all."""
+        regions = self._place.regions
+        for first in range(0, len(loads), MAX_ROWS):
             rows = loads[first : first + MAX_ROWS]
-            self._broadcast(
-                repeated[: len(known)] if not first else [],
-                rows,
-                True,
-                rates if loads and not first else [],
+            self._members.send_all(
+                self._board([], rows, True, []),
+                lambda p: region in (None, regions.get(p.data_centre, "")),
             )
 
     def _board(
@@ -559,8 +585,7 @@
         holdings: list[summaries.Holding],
         loads: list[summaries.EngineLoad],
         numbered: bool,
-        rates: Sequence[summaries.Rate] = (),
         coming: list[summaries.Coming] | None = None,
     ) -> None:
-        board = self._board(holdings, loads, numbered, list(rates), coming)
+        board = self._board(holdings, loads, numbered, [], coming)
         self._members.send_all(board)
--- a/carobsail/members.py
+++ b/carobsail/members.py
@@ -1,6 +1,7 @@
 """The other instances that are known, and messages to them."""
 
 import dataclasses
+from collections.abc import Callable
 
 from carobsail import datagrams, summaries
 
@@ -74,10 +75,15 @@
                 summaries.encode(message), (address, self._port)
             )
 
-    def send_all(self, message: summaries.Message) -> None:
-        """Sends a message to all."""
+    def send_all(
+        self,
+        message: summaries.Message,
+        concerns: Callable[[Peer], bool] = lambda peer: True,
+    ) -> None:
+        """Sends a message to all that it concerns."""
         if self.datagrams is None:
             return
         data = summaries.encode(message)
         for peer in self._peers.values():
-            self.datagrams.send(data, (peer.address, self._port))
+            if concerns(peer):
+                self.datagrams.send(data, (peer.address, self._port))
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -483,6 +483,34 @@
     assert loads["e1"].in_flight == 5
 
 
+async def test_large_fleet_hears_of_its_own_region_only(group):
+    """Boards for 12,000 engines would fill the order giver's link."""
+    (first,) = group.holders()
+    part = group.parts[first]
+    rows = [summaries.EngineLoad(f"e{n}", 1, 0, 0) for n in range(300)]
+    for row in rows:
+        place = "dc-a" if int(row.target[1:]) % 2 else "dc-c"
+        part._book.put(engine_entry(row.target, data_centre=place), 0.0)
+    part._loads = lambda now: rows
+    part._loads_sent_at = float("-inf")
+    now = asyncio.get_running_loop().time()
+    part._members.heard("far", "10.0.0.9", "dc-c", now)
+    heard = {}
+    part._members.datagrams.send = lambda data, address: heard.setdefault(
+        address[0], []
+    ).append(summaries.decode(data))
+    part._send_board()
+    told = {
+        address: {load.target for board in boards for load in board.loads}
+        for address, boards in heard.items()
+    }
+    shared = {row.target for row in rows[: coordination.MAX_ROWS]}
+    north = {r.target for r in rows if int(r.target[1:]) % 2}
+    south = {r.target for r in rows} - north
+    assert told.pop("10.0.0.9") - shared == south - shared
+    assert all(t - shared == north - shared for t in told.values())
+
+
 async def test_long_value_crosses_to_each_data_centre_once(group):
     """A configuration read by all instances filled the link (CONFIG)."""
     before = sum(store.ranges for store in group.stores)
