Add carobsailctl explain: from a request's identity to its cause

It prints the lines of a request in order, then those that tell of its model's copies, its targets and its instance in the 15 s before.

--- a/carobsail/ctl.py
+++ b/carobsail/ctl.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import getpass
+import pathlib
 import sys
 import uuid
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
     configuration,
     deletion,
     errors,
+    explanation,
     inventory,
     inventorysource,
     keyvalue,
@@ -229,6 +231,31 @@
         """Shows the state of the process with this operator port."""
         return Pending(lambda: asyncio.run(fetch_dump(address)))
 
+    def explain(self, request: str, *files: str) -> Pending:
+        """Shows the log lines that tell why a request ended as it did.
+
+        Args:
+          request: Identity of the request.
+          files: Logs of the instances.
+        """
+
+        def work() -> Result:
+            texts: list[str] = []
+            for name in files:
+                try:
+                    text = pathlib.Path(name).read_text(errors="replace")
+                except OSError as error:
+                    return Result(Status.INVALID, (f"{name}: {error}",))
+                texts += text.splitlines()
+            # fire takes an identity of digits for a number.
+            found = explanation.explain(str(request), texts)
+            if not found:
+                line = f"no line of these logs names request {request}"
+                return Result(Status.INVALID, (line,))
+            return Result(Status.DONE, found)
+
+        return Pending(work)
+
     def _pending(
         self,
         call: Callable[
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,54 @@
+"""Guards the way from a request's identity to its cause."""
+
+import pathlib
+
+from carobsail import ctl
+from carobsail.explanation import MAX_LINES, explain
+
+LOG = """
+n1 time=2026-03-01T22:48:41.000Z level=info event=model_move_planned target=e2 load=m9 unload=m1,m2 net=1.2
+n2 time=2026-03-01T22:48:44.100Z level=info event=order_given target=e2 verb=unload model=m1 adapter="" verdict=accepted
+n1 time=2026-03-01T22:48:30.000Z level=info event=model_move_planned target=e3 load=m5 unload=m1
+n1 time=2026-03-01T22:48:50.272Z level=info event=request_waits request=q1 reason=model model=m1 adapter="" left_s=4.36
+n1 time=2026-03-01T22:48:51.000Z level=info event=request_sent request=q1 target=e4 late=false
+n3 time=2026-03-01T22:48:51.100Z level=info event=target_gone target=e4 leaving=false revision=9
+n3 time=2026-03-01T22:48:51.200Z level=info event=target_gone target=e7 leaving=false revision=10
+n1 time=2026-03-01T22:48:51.300Z level=info event=store_lost revision=8 reason=timeout
+n2 time=2026-03-01T22:48:51.300Z level=info event=store_lost revision=8 reason=timeout
+n1 time=2026-03-01T22:48:53.668Z level=info event=request_refused request=q1 status=503 detail="model absent" model=m1
+a line of another program
+n1 time=2026-03-01T22:48:53.700Z level=info event=request_ended request=q11 outcome=served
+""".splitlines()  # noqa: E501 - lines as they are logged.
+
+
+def test_lines_of_request_model_target_and_instance():
+    """On-call searched four kinds of lines by hand."""
+    text = "\n".join(explain("q1", reversed(LOG)))
+    sections = [x for x in text.splitlines() if x.startswith("# ")]
+    assert sections == [
+        "# request q1: 3 lines",
+        "# model m1: 2 lines",
+        "# target e4: 1 lines",
+        "# instance: 1 lines",
+    ]
+    assert text.index("request_waits") < text.index("request_refused")
+    assert "load=m5" not in text and "target=e7" not in text
+    assert "q11" not in text
+
+
+def test_sections_are_bounded():
+    """A target that flaps fills the screen."""
+    many = [LOG[6]] * 100
+    found = explain("q1", [*LOG, *many])
+    assert len(found) <= 4 * (MAX_LINES + 1)
+
+
+def test_command(tmp_path: pathlib.Path, capsys):
+    """An identity that no log has is told apart from an empty answer."""
+    file = tmp_path / "n1.log"
+    file.write_text("\n".join(LOG))
+    assert ctl.run(["explain", "q1", str(file)]) == 0
+    assert "model_move_planned" in capsys.readouterr().out
+    assert ctl.run(["explain", "q2", str(file)]) == 1
+    assert "q2" in capsys.readouterr().out
+    assert ctl.run(["explain", "q1", str(tmp_path / "none")]) == 1
