Load rare models for callers who will be late but wait

A load of 8.6 s misses the objective by 0.6 s, so the plan counted a third of each waiting request, though they are served late, and who is refused and comes back in vain costs as much again.

Change: for callers with time at least 0.6 of the gain is left after a load. The test fails without it.

--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -79,6 +79,9 @@
 # Callers in a hurry leave while a load goes on, and demand moves on after it: a
 # load of half the horizon is worth half.
 LOAD_DELAY_WEIGHT = 2.0
+# The same for callers with time who wait for the load: late answers earn 0.3 of
+# the worth, and one who is refused and comes back in vain costs as much again.
+PATIENT_LATE_PART = 0.6
 # What a load must gain at least, so that copies do not come and go.
 MIN_GAIN = 0.2
 
@@ -274,7 +277,10 @@
         known = self.demand.get(name, _NO_DEMAND)
         if load_s < known.objective_s < math.inf:
             return 1.0
-        return HORIZON_S / (HORIZON_S + LOAD_DELAY_WEIGHT * load_s)
+        part = HORIZON_S / (HORIZON_S + LOAD_DELAY_WEIGHT * load_s)
+        if self._damage(name) == PATIENT_DAMAGE:
+            part = max(part, PATIENT_LATE_PART)
+        return part
 
     def best_move(self, name: str, store_allowed: bool) -> Move | None:
         """Returns the best move that brings one more copy of a model."""
--- a/tests/test_copyplan.py
+++ b/tests/test_copyplan.py
@@ -230,3 +230,17 @@
     other = state("e3", "m5", "m6", "m1")
     moves = plan(pool(*models), [busy, last, other], wanted, 5, NOW)
     assert [m.engine for m in moves] == ["e3"]
+
+
+def test_rare_model_is_loaded_for_callers_who_will_be_late():
+    """Callers with 15 s were refused: a load took 0.6 s too long."""
+    rare = model("m3", store_load_s=8.6)
+    engines = [state("e1", "m0", "m1", "m2"), state("e2", "m0", "m1", "m2")]
+    wanted = {
+        "m0": demand(2.0, objective_s=HURRIED),
+        "m1": demand(0.02, age_s=20.0, objective_s=8.0),
+        "m2": demand(0.02, age_s=20.0, objective_s=8.0),
+        "m3": demand(0.2, waiting=2, objective_s=8.0),
+    }
+    moves = plan(pool(*names(3), rare), engines, wanted, 5, NOW)
+    assert [m.load for m in moves] == ["m3"]
