Refuse requests that end each target that runs them, on all instances

Change: losses of targets are told with the summaries by a hash of method, path and body; after three different targets within 60 s the order giver has all instances refuse such requests for 2 minutes, with 503 as not run. Requests without a body are not recognised: resets would refuse the lookups of all callers.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -11,6 +11,7 @@
 
 from carobsail import (
     changerelay,
+    crashes,
     datagrams,
     demandbook,
     engineorders,
@@ -157,6 +158,7 @@
             metrics,
         )
         self._unreachable = unreachable.UnreachableTargets(place.regions)
+        self._lost_runs = crashes.LostRuns()
         self._incarnation = rng.getrandbits(48)
         self._number = 0
         self._reported: dict[str, summaries.EngineLoad] = {}
@@ -276,6 +278,7 @@
                 for t in self._book.all()
                 if now - t.unreachable_at < UNREACHABLE_TOLD_S
             ],
+            lost_runs=self._serving.lost_runs.fresh(now),
         )
         holder = self.lease.holder
         if self.lease.fence:
@@ -355,8 +358,13 @@
 
     def _take_summary(self, summary: summaries.Summary, now: float) -> None:
         self._giver.take(summary, now)
-        if self._unreachable.take(summary, now):
+        news = self._unreachable.take(summary, now)
+        if news:
             self._avoid(self._unreachable.judged(now), now)
+        for row in summary.lost_runs:
+            news |= self._lost_runs.lost(row.request, row.target, now)
+        if news:
+            self._serving.lost_runs.refuse(self._lost_runs.refused(now), now)
             self._broadcast([], [], numbered=False)
 
     def _avoid(self, rows: list[summaries.Unreachable], now: float) -> None:
@@ -385,6 +393,7 @@
             self._told_holdings.clear()
         self._take_holdings(board.holdings, now)
         self._avoid(board.unreachable, now)
+        self._serving.lost_runs.refuse(board.refused, now)
         if board.coming is not None:
             self._take_coming(board.coming, now)
         if board.number <= self._board_number:
@@ -564,6 +573,7 @@
             store_revision=self._mirror.revision,
             store_age_s=-1.0 if self.keeper.stopping else age_s,
             unreachable=self._unreachable.judged(now),
+            refused=self._lost_runs.refused(now),
             rates=rates,
         )
 
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -14,6 +14,7 @@
 
 from carobsail import (
     callerwire,
+    crashes,
     errors,
     eventstream,
     followup,
@@ -50,6 +51,8 @@
 START_RETRY_S = 0.4
 # Patience that is assumed of a caller that states none.
 DEFAULT_PATIENCE_S = 30.0
+# Ends of a send after which its target may have crashed.
+LOST_REASONS = (errors.Reason.CONNECTION_LOST, errors.Reason.ANSWER_CUT)
 # Classes by which a request that cannot be on time goes behind the others: the
 # ranks of streams on the users' sheets are 0 and 1, two classes apart.
 LATE_URGENCY = 3
@@ -71,6 +74,8 @@
     arrived_at: float
     leaves_at: float
     cursor: eventstream.EventCursor
+    # What the request is recognised by if it ends its targets.
+    identity: int = 0
     targets: list[str] = dataclasses.field(default_factory=list)
     # Of the last send: predicted and measured seconds to its first event.
     predicted_s: float = 0.0
@@ -118,6 +123,7 @@
         and model.
       stops_at: When the instance ends, or None while it does not stop.
       rates: How much the other instances send.
+      lost_runs: Targets that were lost while they ran a request.
     """
 
     def __init__(
@@ -148,6 +154,7 @@
         self.coming: dict[tuple[str, str], float] = {}
         self.stops_at: float | None = None
         self.rates = sendrates.SendRates()
+        self.lost_runs = crashes.LostRuns()
         self._uses: set[tuple[str, str, str]] = set()
         self._wire = wire
         self._place = place
@@ -231,6 +238,13 @@
                 errors.Reason.UNKNOWN_PATH,
                 f"no route in version {self.table.version}",
             )
+        identity = crashes.fingerprint(request)
+        if identity and self.lost_runs.refuses(identity, now):
+            return _failure(
+                errors.Reason.SUSPECT_REFUSED,
+                "targets were lost each time while they ran it",
+                targetchoice.MAX_RETRY_S,
+            )
         patience_s = terms.patience_s
         if patience_s is None:
             patience_s = DEFAULT_PATIENCE_S
@@ -261,6 +275,7 @@
             now,
             leaves_at,
             eventstream.EventCursor(),
+            identity,
         )
 
     def _budget(self, service: str) -> repeatbudget.RepeatBudget:
@@ -338,6 +353,8 @@
             )
             if after in (followup.Next.FAIL, followup.Next.REFUSE):
                 return
+            if self.lost_runs.refuses(call.identity, loop.time()):
+                return
 
     async def _choose(self, call: _Call) -> targetbook.Target | errors.Failure:
         """Decides until the request has a target or is refused."""
@@ -394,6 +411,16 @@
             except TimeoutError:
                 pass  # The time of the next decision has come.
 
+    def _log_refused(self, call: _Call) -> None:
+        telemetry.log(
+            _log,
+            "request_ends_targets",
+            level=logging.WARNING,
+            request=call.terms.request,
+            path=call.request.path,
+            targets=",".join(call.targets),
+        )
+
     def _load_left_s(self, want: targetchoice.Want, now: float) -> float | None:
         """Returns the seconds until a model that is loaded can be used."""
         usable_at = self.coming.get((want.service, want.model))
@@ -490,12 +517,18 @@
             load.end()
         if result is None:
             target.succeeded()
+            self.lost_runs.finished(call.identity)
             return None
         call.want.excluded.add(target.entry.identity)
         if result.outcome is errors.Outcome.NOT_RUN:
             progress.may_have_run -= 1
         if result.step is errors.Step.CONNECT:
             progress.unsent += 1
+        elif result.reason in LOST_REASONS:
+            name = target.entry.identity
+            if self.lost_runs.lost(call.identity, name, loop.time()):
+                self._log_refused(call)
+            self.on_unreachable()
         if result.reason is errors.Reason.TARGET_ERROR:
             target.answered_badly()
         elif result.reason is errors.Reason.CONNECT_FAILED:
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -61,6 +61,13 @@
     adapter: str
 
 
+class LostRun(msgspec.Struct, array_like=True, frozen=True):
+    """A target that was lost while it ran a request; see `crashes`."""
+
+    request: int
+    target: str
+
+
 class Summary(
     msgspec.Struct, array_like=True, frozen=True, tag="summary", kw_only=True
 ):
@@ -76,6 +83,7 @@
       needs: Requests that wait.
       uses: Adapters used lately.
       unreachable: Targets to which no connection opened lately.
+      lost_runs: Targets lost lately while they ran a request.
     """
 
     instance: str
@@ -87,6 +95,7 @@
     needs: list[Need]
     uses: list[AdapterUse]
     unreachable: list[str] = []
+    lost_runs: list[LostRun] = []
 
 
 class Holding(msgspec.Struct, array_like=True, frozen=True):
@@ -144,6 +153,7 @@
         stops.
       unreachable: Targets to be avoided.
       rates: Demand for the models that are asked for most.
+      refused: Requests that are refused because they end their targets.
     """
 
     fence: int
@@ -156,6 +166,7 @@
     store_age_s: float = -1.0
     unreachable: list[Unreachable] = []
     rates: list[Rate] = []
+    refused: list[int] = []
 
 
 class Change(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -367,6 +367,16 @@
     assert all(avoided)
 
 
+async def test_request_that_ends_targets_is_refused_by_all(group):
+    """Three instances each lost an engine to the same request."""
+    now = asyncio.get_running_loop().time()
+    for number, path in enumerate(group.served[:3]):
+        path.lost_runs.lost(7, f"e{number}", now)
+        path.on_unreachable()
+    await asyncio.sleep(0.1)
+    assert all(p.lost_runs.refuses(7, now) for p in group.served)
+
+
 async def test_load_of_others_expires(group):
     """Load told by a holder that is gone must not last."""
     (first,) = group.holders()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -403,6 +403,30 @@
     assert status(await ask(served)) == 200
 
 
+async def test_request_that_ended_three_targets_is_refused():
+    """It would end a fourth one; its caller learns that it has not run."""
+    targets = [await Target(None).start() for _ in range(4)]
+    served = request_path(
+        table(stream_route()),
+        *(t.engine(f"e{n}") for n, t in enumerate(targets)),
+    )
+    answers = []
+    for _ in range(3):
+        server = await httpserver.serve(
+            "127.0.0.1", 0, served.handle, httpserver.Bounds(), "callers"
+        )
+        head = (
+            b"POST /a/x HTTP/1.1\r\nHost: host.example\r\n"
+            b"Carobsail-Request-Id: q1\r\nCarobsail-Model: m1\r\n"
+            b"Carobsail-Token-Count: 10,5\r\nContent-Length: 6\r\n"
+            b"Connection: close\r\n\r\nprompt"
+        )
+        answers.append(await builders_io.exchange(server.port, head))
+        await server.close()
+    assert [status(a) for a in answers][-1] == 503
+    assert sum(len(t.requests) for t in targets) == 3
+
+
 class BlockedResponder:
     """A caller's connection that takes the head and no event."""
 
