Count the need of refused callers on while they may come back

Change: the need of a refused caller counts for up to 4 s more, as long as its caller may come back. The test fails without it.

--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -45,6 +45,8 @@
 # What others send is known this much later on average: boards come twice a
 # second, with what summaries told up to 0.5 s before.
 LOAD_AGE_S = 0.5
+# A need of a refused caller counts on for this long, while it may come back.
+REFUSED_NEED_S = 4.0
 # A load that should have ended this long ago is not counted on any more.
 LOAD_OVERDUE_S = 1.0
 # An instance that has just started reads the store within this time.
@@ -383,6 +385,7 @@
             want.load_left_s = self._load_left_s(want, now)
             if call.awaiting:
                 want.waited_s = now - call.awaiting_since
+            left_s = max(0.0, call.leaves_at - now)
             choice = targetchoice.decide(want, targets, pool, self._place, now)
             if isinstance(choice, targetchoice.Wait) and self.stops_at:
                 # What waits at the end of the process would get no answer.
@@ -396,6 +399,7 @@
                 call.late = choice.late
                 return choice.target
             if isinstance(choice, targetchoice.Refuse):
+                self._stop_waiting(call, min(left_s, REFUSED_NEED_S))
                 # Callers that are refused together come back one by one.
                 spread = self._rng.uniform(1.0, RETRY_SPREAD)
                 return _failure(
@@ -447,12 +451,25 @@
         if reason in ("model", "adapter"):
             self.on_need(want.service, want.model, want.adapter)
 
-    def _stop_waiting(self, call: _Call) -> None:
+    def _stop_waiting(self, call: _Call, still_s: float = 0.0) -> None:
+        """Ends a wait; what is needed counts on for a while after a refusal.
+
+        Load pattern: callers of a model that nobody holds are refused after
+        0.5 s and come back within their 5 s. While they are away nobody seems
+        to need the model, so it is never loaded.
+        """
         if not call.awaiting:
             return
         call.awaiting = ""
         want = call.want
         key = (want.service, want.model, want.adapter)
+        if still_s > 0.0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(still_s, self._end_need, key)
+        else:
+            self._end_need(key)
+
+    def _end_need(self, key: tuple[str, str, str]) -> None:
         self.waiting[key] -= 1
         if not self.waiting[key]:
             del self.waiting[key]
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,6 +16,7 @@
 
 from carobsail import httpserver
 from carobsail.routetable import Repeat
+from carobsail.serving import REFUSED_NEED_S
 
 pytestmark = pytest.mark.memory_network
 
@@ -354,6 +355,9 @@
     received = await generate(served)
     assert status(received) == 503 and b"model_absent" in received
     assert loop.time() - began < 0.2 * 5.0
+    # The caller may come back; a model must not be starved by quick refusals.
+    assert served.waiting == {("llm", "m1", ""): 1}
+    await asyncio.sleep(REFUSED_NEED_S + 0.1)
     assert not served.waiting
 
 
