--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -13,12 +13,13 @@
 from collections.abc import Callable
 
 from carobsail import (
+    answerrelay,
     callerwire,
+    calls,
     crashes,
     errors,
     eventstream,
     followup,
-    httpclient,
     httpserver,
     promptmemory,
     repeatbudget,
@@ -30,10 +31,6 @@
     telemetry,
 )
 
-# Largest answer that is held whole before it is passed on.
-MAX_ANSWER_BYTES = 4_194_304
-# Answers to requests of others that are read past before ours is given up.
-MAX_EXTRA_ANSWERS = 2
 # Time that an answer needs to reach its caller.
 ANSWER_MARGIN_S = 0.02
 # Assumed before the order giver has told how many instances there are.
@@ -64,37 +61,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class _Call:
-    """One caller's request under way."""
-
-    request: httpserver.Request
-    responder: httpserver.Responder
-    terms: callerwire.Terms
-    progress: followup.Progress
-    want: targetchoice.Want
-    arrived_at: float
-    leaves_at: float
-    cursor: eventstream.EventCursor
-    # What the request is recognised by if it ends its targets.
-    identity: int = 0
-    targets: list[str] = dataclasses.field(default_factory=list)
-    # Of the last send: predicted and measured seconds to its first event.
-    predicted_s: float = 0.0
-    late: bool = False
-    first_event_s: float | None = None
-    sent_at: float = 0.0
-    awaiting: str = ""
-    awaiting_since: float = 0.0
-    failure: errors.Failure | None = None
-    # A target's own failure answer, passed on if nothing better follows.
-    verdict: tuple[int, callerwire.Headers, bytes] | None = None
-
-    @property
-    def route(self) -> routetable.Route:
-        return self.progress.route
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class BudgetTerms:
     """Bound on repeats over all instances, see `RepeatBudget`."""
@@ -170,6 +136,7 @@
         self.on_unreachable: Callable[[], None] = lambda: None
         self._pools = targetpools.Pools()
         self._memory = promptmemory.PromptMemory()
+        self._answers = answerrelay.AnswerRelay(wire, self._memory, metrics)
         self._changed = asyncio.Event()
 
     def set_budget(self, terms: BudgetTerms) -> None:
@@ -223,7 +190,7 @@
         request: httpserver.Request,
         responder: httpserver.Responder,
         now: float,
-    ) -> _Call | errors.Failure:
+    ) -> calls.Call | errors.Failure:
         """Finds the route of a request."""
         terms = self._wire.read_terms(request)
         if isinstance(terms, errors.Failure):
@@ -268,7 +235,7 @@
             )
             arrived.count += 1
             arrived.objective_s = min(arrived.objective_s, route.objective_s)
-        return _Call(
+        return calls.Call(
             request,
             responder,
             terms,
@@ -289,7 +256,7 @@
             )
         return budget
 
-    async def _serve(self, call: _Call) -> None:
+    async def _serve(self, call: calls.Call) -> None:
         try:
             async with asyncio.timeout_at(call.want.due_at):
                 await self._try_targets(call)
@@ -309,7 +276,7 @@
         if call.failure is not None:
             await self._end_failed(call, call.failure)
 
-    def _note_silence(self, call: _Call) -> None:
+    def _note_silence(self, call: calls.Call) -> None:
         """Records that a target left a request without any answer.
 
         Load pattern: a target accepts requests and answers nothing, while its
@@ -320,7 +287,7 @@
             if target is not None:
                 target.answered_badly()
 
-    async def _try_targets(self, call: _Call) -> None:
+    async def _try_targets(self, call: calls.Call) -> None:
         """Sends until an answer was delivered or nothing more may be done."""
         loop = asyncio.get_running_loop()
         while True:
@@ -358,7 +325,9 @@
             if self.lost_runs.refuses(call.identity, loop.time()):
                 return
 
-    async def _choose(self, call: _Call) -> targetbook.Target | errors.Failure:
+    async def _choose(
+        self, call: calls.Call
+    ) -> targetbook.Target | errors.Failure:
         """Decides until the request has a target or is refused."""
         loop = asyncio.get_running_loop()
         want = call.want
@@ -415,7 +384,7 @@
             except TimeoutError:
                 pass  # The time of the next decision has come.
 
-    def _log_refused(self, call: _Call) -> None:
+    def _log_refused(self, call: calls.Call) -> None:
         telemetry.log(
             _log,
             "request_ends_targets",
@@ -432,7 +401,7 @@
             return None
         return max(0.0, usable_at - now)
 
-    def _start_waiting(self, call: _Call, reason: str) -> None:
+    def _start_waiting(self, call: calls.Call, reason: str) -> None:
         want = call.want
         if not call.awaiting and reason in ("model", "adapter"):
             key = (want.service, want.model, want.adapter)
@@ -451,7 +420,7 @@
         if reason in ("model", "adapter"):
             self.on_need(want.service, want.model, want.adapter)
 
-    def _stop_waiting(self, call: _Call, still_s: float = 0.0) -> None:
+    def _stop_waiting(self, call: calls.Call, still_s: float = 0.0) -> None:
         """Ends a wait; what is needed counts on for a while after a refusal.
 
         Load pattern: callers of a model that nobody holds are refused after
@@ -475,7 +444,7 @@
             del self.waiting[key]
 
     async def _send(
-        self, call: _Call, target: targetbook.Target
+        self, call: calls.Call, target: targetbook.Target
     ) -> errors.Failure | None:
         """Sends to one target and relays; returns why it did not succeed."""
         loop = asyncio.get_running_loop()
@@ -529,7 +498,7 @@
                 call.request.body,
                 reuse=progress.route.idempotent or progress.route.resumable,
             )
-            result = await self._take_answer(call, target, pool, answer, load)
+            result = await self._answers.take(call, target, pool, answer, load)
         finally:
             load.end()
         if result is None:
@@ -555,120 +524,9 @@
             target.failed(loop.time())
         return result
 
-    async def _take_answer(
-        self,
-        call: _Call,
-        target: targetbook.Target,
-        pool: httpclient.Pool,
-        answer: httpclient.Answer | errors.Failure,
-        load: targetpools.TargetLoad,
-    ) -> errors.Failure | None:
-        """Checks an answer and passes it on."""
-        for _ in range(MAX_EXTRA_ANSWERS + 1):
-            if isinstance(answer, errors.Failure):
-                return answer
-            head = self._wire.read_answer(answer)
-            if head.request in (None, "", call.terms.request):
-                break
-            answer = await pool.skip(
-                answer, call.request.method, MAX_ANSWER_BYTES
-            )
-        if isinstance(answer, errors.Failure):
-            return answer
-        if head.request not in (None, "", call.terms.request):
-            await answer.close()
-            return pool.failure(
-                errors.Reason.CONNECTION_LOST, "answers to other requests"
-            )
-        if head.load is not None:
-            target.load_running, target.load_waiting, _ = head.load
-            target.load_at = asyncio.get_running_loop().time()
-        if head.not_run:
-            body = await answer.read(MAX_ANSWER_BYTES)
-            detail = f"status {answer.status}"
-            if isinstance(body, bytes) and body:
-                detail += f": {body[:80].decode('latin-1')}"
-            return pool.failure(
-                errors.Reason.TARGET_REFUSED, detail, errors.Outcome.NOT_RUN
-            )
-        if not head.sealed or head.encoded:
-            await answer.close()
-            return pool.failure(
-                errors.Reason.TARGET_ERROR,
-                f"status {answer.status} without a signature"
-                if not head.sealed
-                else "a coding that was not asked for",
-            )
-        if call.route.repeat is routetable.Repeat.STREAM and (
-            200 <= answer.status < 300
-        ):
-            return await self._relay_stream(call, target, answer, load)
-        return await self._relay_whole(call, pool, answer)
-
-    async def _relay_whole(
-        self, call: _Call, pool: httpclient.Pool, answer: httpclient.Answer
-    ) -> errors.Failure | None:
-        """Reads a whole answer before any of it is passed on."""
-        body = await answer.read(MAX_ANSWER_BYTES)
-        if isinstance(body, errors.Failure):
-            return body
-        headers = self._wire.caller_headers(answer)
-        if answer.status >= 500 or call.progress.head_delivered:
-            call.verdict = (answer.status, headers, body)
-            return pool.failure(
-                errors.Reason.TARGET_ERROR, f"status {answer.status}"
-            )
-        await call.responder.send(answer.status, headers, body)
-        return None
-
-    async def _relay_stream(
-        self,
-        call: _Call,
-        target: targetbook.Target,
-        answer: httpclient.Answer,
-        load: targetpools.TargetLoad,
-    ) -> errors.Failure | None:
-        """Passes whole events on as they arrive."""
-        progress = call.progress
-        call.cursor.restart()
-        async for chunk in answer.chunks():
-            if isinstance(chunk, errors.Failure):
-                return chunk
-            whole = call.cursor.feed(chunk)
-            if not whole:
-                continue
-            if not load.started:
-                load.start()
-                now = asyncio.get_running_loop().time()
-                call.first_event_s = now - call.sent_at
-                self._memory.remember(
-                    target.entry.identity,
-                    f"{call.want.model}/{call.want.adapter}",
-                    call.terms.prompt_parts,
-                )
-            if not progress.head_delivered:
-                progress.head_delivered = True
-                self._metrics.time_ms(
-                    "first_event",
-                    1000.0
-                    * (asyncio.get_running_loop().time() - call.arrived_at),
-                )
-                await call.responder.start(
-                    answer.status, self._wire.caller_headers(answer)
-                )
-            await call.responder.write(whole)
-            progress.last_event = call.cursor.last_event()
-        if not progress.head_delivered:
-            await call.responder.start(
-                answer.status, self._wire.caller_headers(answer)
-            )
-        rest = call.cursor.take_rest()
-        if rest:
-            await call.responder.write(rest)
-        await call.responder.finish()
-        return None
-
-    async def _end_failed(self, call: _Call, failure: errors.Failure) -> None:
+    async def _end_failed(
+        self, call: calls.Call, failure: errors.Failure
+    ) -> None:
         """Gives a request its final answer without a success."""
         if call.progress.head_delivered:
             call.responder.abort()
@@ -719,7 +577,7 @@
             json.dumps(failure.describe(status)).encode(),
         )
 
-    def _report(self, call: _Call, gone: bool) -> None:
+    def _report(self, call: calls.Call, gone: bool) -> None:
         """Logs the end of a request."""
         elapsed_s = asyncio.get_running_loop().time() - call.arrived_at
         outcome = "served"
