Give up a plan when another order was carried out at its engine

The order giver lost its term while a load that it had sent was held up. In its next term it planned a load for the free place, and was told of a conflict: the late load had just begun. It asked the engine again until that load had ended, 9 s later, and then gave the order that it had planned for the place that was now taken.

Change: a plan ends when the engine has accepted an order that its holder did not know of; and before a load the room is checked once more with what the engine holds now. The first test fails without it.

--- a/carobsail/engineorders.py
+++ b/carobsail/engineorders.py
@@ -184,6 +184,10 @@
             self.pending.clear()
             self.leaving.clear()
         self.born = report.born
+        if report.orders != self.orders:
+            # Another order was carried out, such as a late one of an earlier
+            # holder; what was planned may have no room any more.
+            self.pending.clear()
         ours = bool(self.loading or self.unloading)
         self.known = not report.busy or ours
         self.orders = report.orders
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -127,6 +127,9 @@
             # The holder before may have used the window up to now.
             half = self._load_window_s / 2.0
             self._store_loads = [now - half] * self._window_loads(table, 0.5)
+        self._engine_pools = {
+            s.name: s.pool for s in table.services.values() if s.pool
+        }
         self.demand.rate(now)
         self._sync_ledgers(table)
         if not self._lease.may_order(self._boot_clock()):
@@ -135,9 +138,6 @@
             return
         self._read_engines(now)
         self._continue_orders(now)
-        self._engine_pools = {
-            s.name: s.pool for s in table.services.values() if s.pool
-        }
         for name, pool in self._engine_pools.items():
             self._order_adapters(name, pool, now)
         if now < self._plan_at:
@@ -230,15 +230,32 @@
         for ledger in self._ledgers.values():
             if ledger.settle(now):
                 self._publish(ledger)
-            if (
-                ledger.pending
-                and ledger.known
-                and not ledger.in_call
-                and not ledger.loading
-                and not ledger.unloading
-                and now >= ledger.retry_at
-            ):
-                self._start(ledger, self._order(ledger, ledger.pending[0]))
+            if not ledger.pending or not ledger.takes_orders(now):
+                continue
+            order = ledger.pending[0]
+            if order.verb is Verb.LOAD and not self._fits(ledger, order.model):
+                telemetry.log(
+                    _log,
+                    "model_move_dropped",
+                    target=ledger.identity,
+                    load=order.model,
+                    held=",".join(sorted(ledger.holdings)),
+                )
+                ledger.pending.clear()
+                continue
+            self._start(ledger, self._order(ledger, order))
+
+    def _fits(self, ledger: EngineLedger, name: str) -> bool:
+        """Whether an engine has room for one more model, as it is known now."""
+        target = self._book.get(ledger.identity)
+        pool = self._engine_pools.get(target.entry.service if target else "")
+        if pool is None:
+            return False
+        names = {*ledger.holdings, name}
+        if any(n not in pool.models for n in names):
+            return False
+        size_mb = sum(pool.models[n].size_mb for n in names)
+        return size_mb <= pool.model_memory_mb
 
     async def _order(self, ledger: EngineLedger, order: Order) -> None:
         """Gives one order, if the right to do so still holds."""
--- a/tests/test_engineorders.py
+++ b/tests/test_engineorders.py
@@ -106,6 +106,26 @@
     assert not made.unsettled and made.usable() == {"m1": {"a1"}}
 
 
+def test_late_order_of_an_earlier_term_ends_a_plan():
+    """Its model took the room that the plan had seen (LIMIT)."""
+    made = ledger({"m1": [], "m2": []}, orders=1)
+    made.pending = [Order(Verb.LOAD, "m3")]
+    made.known = False  # The load was answered with a conflict.
+    made.read(report({"m1": [], "m2": []}, busy=True, orders=2))
+    assert not made.known
+    made.read(report({"m1": [], "m2": [], "m4": []}, orders=2))
+    assert made.known and not made.pending
+
+
+def test_own_unload_goes_on_with_its_load():
+    """A plan of two orders is not given up after the first."""
+    made = ledger({"m1": [], "m2": [], "m4": []}, orders=1)
+    made.pending = [Order(Verb.LOAD, "m3")]
+    made.accepted(Order(Verb.UNLOAD, "m1"), Verdict.ACCEPTED, 1.0)
+    made.read(report({"m2": [], "m4": []}, orders=2))
+    assert made.pending == [Order(Verb.LOAD, "m3")]
+
+
 def test_engine_started_anew_counts_anew():
     """A restart under the same identity clears holdings and counts."""
     made = ledger({"m1": []}, orders=4)
