Refuse long requests that reach an instance at its stop

An instance got SIGTERM at second 9; a stream came on a kept connection at 12.594, 3.6 s later, and was cut with the end of the grace at 16.6. Requests that waited at the end were refused already, those that were sent at once were not.

Change: once the rotation is over, a request that may outlast the instance, by its caller's time and its route's time-out, is refused as not run; short ones are still served. The test fails without it.

--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -122,6 +123,7 @@
       coming: When models that are being loaded will be usable, by service
         and model.
       stops_at: When the instance ends, or None while it does not stop.
+      draining: Whether it takes no more requests that may outlast it.
       rates: How much the other instances send.
       lost_runs: Targets that were lost while they ran a request.
     """
@@ -153,6 +155,7 @@
         self.arrivals: dict[tuple[str, str], Arrivals] = {}
         self.coming: dict[tuple[str, str], float] = {}
         self.stops_at: float | None = None
+        self.draining = False
         self.rates = sendrates.SendRates()
         self.lost_runs = crashes.LostRuns()
         self._uses: set[tuple[str, str, str]] = set()
@@ -239,6 +242,16 @@
                 errors.Reason.UNKNOWN_PATH,
                 f"no route in version {self.table.version}",
             )
+        if self.draining and self.stops_at is not None:
+            longest_s = min(route.timeout_s, terms.patience_s or math.inf)
+            if now + longest_s > self.stops_at:
+                # Kept connections may bring requests until the end; this one
+                # could be cut, and another instance serves it whole.
+                return _failure(
+                    errors.Reason.LEAVING,
+                    "the instance stops",
+                    targetchoice.MIN_RETRY_S,
+                )
         identity = crashes.fingerprint(request)
         if identity and self.lost_runs.refuses(identity, now):
             return _failure(
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -324,6 +324,7 @@
         self._serving.stops_at = end
         self._start_duty(self._coordination.hand_over())
         await asyncio.sleep(ROTATION_S)
+        self._serving.draining = True
         try:
             async with asyncio.timeout_at(end):
                 await self._callers.drain()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -393,6 +393,19 @@
     assert status(await generate(served)) == 503
 
 
+async def test_long_request_is_refused_by_an_instance_that_stops():
+    """A stream came on a kept connection and was cut 4 s later (LOST)."""
+    target = await Target().start()
+    routes = table(route(), stream_route(prefix="/s/", timeout_s=15.0))
+    served = request_path(routes, target.entry(), engine_entry())
+    served.stops_at = asyncio.get_running_loop().time() + 4.0
+    served.draining = True
+    patient = {"Carobsail_Deadline_Ms": "15000", "Carobsail_Model": "m1"}
+    received = await ask(served, "/s/x", "POST", Content_Length="0", **patient)
+    assert status(received) == 503 and b"stops" in received
+    assert status(await ask(served)) == 200
+
+
 async def test_repeats_end_with_the_budget():
     """A failing service received a multiple of its requests (BUDGET)."""
     first, second = await Target(*[None] * 9).start(), await Target().start()
