--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -61,9 +61,8 @@
 RECENT_S = 3.0
 RECENT_LOSS = 2.0
 # Requests for one of a model's adapters that no engine holds yet, as a part of
-# its requests: on the users' sites a fifth of the requests for models with
-# adapters name one, and a quarter (amic-valtellina) to a half of those are not
-# held (kagsa-mirrors-grown).
+# its requests: on kagsa-mirrors-grown a fifth of the requests named an adapter
+# and a third of those were refused, mostly while their engines were loading.
 ADAPTER_MISSES = 0.05
 # Cost in requests of each second of a load, of a load from the weight store,
 # which is billed, and of a second copy in the same data centre.
