Call one piece of code for regions, pools and disturbances

Place.region_of replaces four look-ups with two different defaults, _pool_of three walks from an engine to its pool, _loads two formulas of the weight store's window, and the soak's steps note a disturbance with one context manager instead of a start and an end each. Behaviour stays: a data centre without a region counts as a region of its own, as it did for choices.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -139,8 +139,6 @@
         self._me = me
         self._strong = strong
         self._place = place
-        self._data_centre = place.data_centre
-        self._region = place.regions.get(place.data_centre, place.data_centre)
         self._port = port
         self._operator_port = operator_port
         self._book = book
@@ -157,7 +155,7 @@
             load_window_s,
             metrics,
         )
-        self._unreachable = unreachable.UnreachableTargets(place.regions)
+        self._unreachable = unreachable.UnreachableTargets(place)
         self._lost_runs = crashes.LostRuns()
         self._incarnation = rng.getrandbits(48)
         self._number = 0
@@ -261,7 +259,7 @@
         loads = None if urgent else self._own_loads()
         summary = summaries.Summary(
             instance=self._me.instance,
-            data_centre=self._data_centre,
+            data_centre=self._place.data_centre,
             incarnation=self._incarnation,
             number=self._number,
             loads=loads,
@@ -369,9 +367,10 @@
 
     def _avoid(self, rows: list[summaries.Unreachable], now: float) -> None:
         """Takes over which targets are to be avoided."""
+        region = self._place.region_of(self._place.data_centre)
         for row in rows:
             target = self._book.get(row.target)
-            here = self._region in row.regions
+            here = region in row.regions
             if target is None or not here or target.avoided_until > now:
                 continue
             target.avoided_until = now + row.left_s
@@ -517,14 +516,12 @@
         if len(loads) <= MAX_SHARED_LOADS:
             self._send_loads(loads[MAX_ROWS:], None)
             return
-        regions = self._place.regions
         by_region: dict[str, list[summaries.EngineLoad]] = {}
         for load in loads[MAX_ROWS:]:
             target = self._book.get(load.target)
             if target is not None:
-                place = target.entry.data_centre
-                rows = by_region.setdefault(regions.get(place, place), [])
-                rows.append(load)
+                region = self._place.region_of(target.entry.data_centre)
+                by_region.setdefault(region, []).append(load)
         for region, rows in by_region.items():
             self._send_loads(rows, region)
 
@@ -544,12 +541,13 @@
         self, loads: list[summaries.EngineLoad], region: str | None
     ) -> None:
         """Sends loads to the instances of a region, or to all."""
-        regions = self._place.regions
         for first in range(0, len(loads), MAX_ROWS):
             rows = loads[first : first + MAX_ROWS]
             self._members.send_all(
                 self._board([], rows, True, []),
-                lambda p: region in (None, regions.get(p.data_centre, "")),
+                lambda p: (
+                    region in (None, self._place.region_of(p.data_centre))
+                ),
             )
 
     def _board(
--- a/carobsail/ordergiver.py
+++ b/carobsail/ordergiver.py
@@ -118,6 +118,7 @@
     def round(self, table: routetable.RouteTable) -> None:
         """Does what is due now; starts calls and does not wait for them."""
         now = asyncio.get_running_loop().time()
+        services = table.services.values()
         if not self._lease.fence:
             self._end_term()
             return
@@ -126,17 +127,15 @@
             self._term = self._lease.fence
             # The holder before may have used the window up to now.
             half = self._load_window_s / 2.0
-            self._store_loads = [now - half] * self._window_loads(table, 0.5)
-        self._engine_pools = {
-            s.name: s.pool for s in table.services.values() if s.pool
-        }
+            rates = [s.pool.loads_per_s for s in services if s.pool]
+            self._store_loads = [now - half] * self._loads(0.5 * sum(rates))
+        self._engine_pools = {s.name: s.pool for s in services if s.pool}
         self.demand.rate(now)
         self._sync_ledgers(table)
+        # Reading is allowed before the first order.
+        self._read_engines(now)
         if not self._lease.may_order(self._boot_clock()):
-            # Reading is allowed before the first order.
-            self._read_engines(now)
             return
-        self._read_engines(now)
         self._continue_orders(now)
         for name, pool in self._engine_pools.items():
             self._order_adapters(name, pool, now)
@@ -154,11 +153,9 @@
         self._term = 0
         self._ledgers.clear()
 
-    def _window_loads(
-        self, table: routetable.RouteTable, part: float = 1.0
-    ) -> int:
-        rates = [s.pool.loads_per_s for s in table.services.values() if s.pool]
-        return int(sum(rates) * self._load_window_s * STORE_RATE_USED * part)
+    def _loads(self, per_s: float) -> int:
+        """Returns the loads in a window at a rate of the weight store."""
+        return int(per_s * self._load_window_s * STORE_RATE_USED)
 
     def _sync_ledgers(self, table: routetable.RouteTable) -> None:
         """Follows the list of engines."""
@@ -247,8 +244,7 @@
 
     def _fits(self, ledger: EngineLedger, name: str) -> bool:
         """Whether an engine has room for one more model, as it is known now."""
-        target = self._book.get(ledger.identity)
-        pool = self._engine_pools.get(target.entry.service if target else "")
+        pool = self._pool_of(ledger)
         if pool is None:
             return False
         names = {*ledger.holdings, name}
@@ -257,6 +253,11 @@
         size_mb = sum(pool.models[n].size_mb for n in names)
         return size_mb <= pool.model_memory_mb
 
+    def _pool_of(self, ledger: EngineLedger) -> routetable.EnginePool | None:
+        """Returns what an engine has in common with others of its service."""
+        target = self._book.get(ledger.identity)
+        return self._engine_pools.get(target.entry.service) if target else None
+
     async def _order(self, ledger: EngineLedger, order: Order) -> None:
         """Gives one order, if the right to do so still holds."""
         loop = asyncio.get_running_loop()
@@ -307,9 +308,7 @@
         """Returns how long a model order should take."""
         if order.verb is Verb.UNLOAD:
             return engineorders.OVERDUE_S
-        target = self._book.get(ledger.identity)
-        service = target.entry.service if target else ""
-        pool = self._engine_pools.get(service)
+        pool = self._pool_of(ledger)
         model = pool.models.get(order.model) if pool else None
         if model is None:
             return engineorders.OVERDUE_S
@@ -413,9 +412,7 @@
         self._store_loads = [
             at for at in self._store_loads if now - at < self._load_window_s
         ]
-        allowed = int(
-            pool.loads_per_s * self._load_window_s * STORE_RATE_USED
-        ) - len(self._store_loads)
+        allowed = self._loads(pool.loads_per_s) - len(self._store_loads)
         demand = self.demand.of_service(service, now)
         for move in copyplan.plan(pool, states, demand, allowed, now):
             ledger = self._ledgers[move.engine]
--- a/carobsail/targetchoice.py
+++ b/carobsail/targetchoice.py
@@ -63,12 +63,15 @@
     data_centre: str
     regions: dict[str, str]
 
+    def region_of(self, data_centre: str) -> str:
+        """Returns the region of a data centre; itself if none is set."""
+        return self.regions.get(data_centre, data_centre)
+
     def distance_s(self, data_centre: str) -> float:
         """Returns the cost in seconds of the way to a data centre."""
         if data_centre == self.data_centre:
             return 0.0
-        here = self.regions.get(self.data_centre)
-        if here is not None and here == self.regions.get(data_centre):
+        if self.region_of(self.data_centre) == self.region_of(data_centre):
             return OTHER_DATA_CENTRE_S
         return OTHER_REGION_S
 
--- a/carobsail/unreachable.py
+++ b/carobsail/unreachable.py
@@ -12,7 +12,7 @@
 import collections
 import dataclasses
 
-from carobsail import summaries
+from carobsail import summaries, targetchoice
 
 # Instances whose evidence is needed.
 CONFIRMATIONS = 2
@@ -37,15 +37,11 @@
 class UnreachableTargets:
     """Evidence of all instances, and what follows from it."""
 
-    __slots__ = ("_evidence", "_judged", "_regions")
+    __slots__ = ("_evidence", "_judged", "_place")
 
-    def __init__(self, regions: dict[str, str]) -> None:
-        """Creates a judge.
-
-        Args:
-          regions: Region of each data centre.
-        """
-        self._regions = regions
+    def __init__(self, place: targetchoice.Place) -> None:
+        """Creates a judge that knows the regions of a place."""
+        self._place = place
         # By target: region and time, by instance.
         self._evidence: dict[str, dict[str, tuple[str, float]]] = {}
         self._judged: dict[str, _Judgement] = {}
@@ -53,7 +49,7 @@
     def take(self, summary: summaries.Summary, now: float) -> bool:
         """Takes over an instance's evidence; tells whether it is news."""
         news = False
-        region = self._regions.get(summary.data_centre, summary.data_centre)
+        region = self._place.region_of(summary.data_centre)
         for target in summary.unreachable:
             rows = self._evidence.setdefault(target, {})
             rows[summary.instance] = (region, now)
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,13 +1,14 @@
 """The processes and stand-ins of one run, and the faults done to them."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgspec
 
@@ -227,12 +228,25 @@
 
     def disturb(self, what: str, planned: bool = False) -> Span:
         """Notes that something is disturbed until its end is set."""
-        span = Span(
-            what, asyncio.get_running_loop().time(), float("inf"), planned
-        )
+        span = Span(what, self._now(), float("inf"), planned)
         self.record.disturbed.append(span)
         return span
 
+    @contextlib.contextmanager
+    def disturbed(self, what: str, planned: bool = False) -> Iterator[None]:
+        """Notes that something is disturbed within the block."""
+        span = self.disturb(what, planned)
+        yield
+        span.end = self._now()
+
+    def thawed(self, instance: Instance) -> None:
+        """Notes that an instance runs, or reaches the store, again."""
+        now = self._now()
+        self.record.disturbed.append(Span(f"thaw {instance.name}", now, now))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def instance_of(self, step: Step) -> Instance:
         """Returns the instance that a step is about."""
         return self.instances[int(step.pick * len(self.instances))]
@@ -360,16 +374,15 @@
     if instance.held:
         return
     instance.held = True
-    span = world.disturb(instance.name, planned=True)
-    instance.signal(signal.SIGTERM)
-    try:
-        async with asyncio.timeout(GRACE_S):
+    with world.disturbed(instance.name, planned=True):
+        instance.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await instance.wait()
+        except TimeoutError:
+            instance.signal(signal.SIGKILL)
             await instance.wait()
-    except TimeoutError:
-        instance.signal(signal.SIGKILL)
-        await instance.wait()
-    await instance.start()
-    span.end = asyncio.get_running_loop().time()
+        await instance.start()
     instance.held = False
 
 
@@ -380,12 +393,11 @@
     if instance.held:
         return
     instance.held = True
-    span = world.disturb(instance.name)
-    instance.signal(signal.SIGKILL)
-    await instance.wait()
-    await asyncio.sleep(RESTART_S)
-    await instance.start()
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(instance.name):
+        instance.signal(signal.SIGKILL)
+        await instance.wait()
+        await asyncio.sleep(RESTART_S)
+        await instance.start()
     instance.held = False
 
 
@@ -396,14 +408,11 @@
     if instance.held:
         return
     instance.held = True
-    span = world.disturb(instance.name)
-    instance.signal(signal.SIGSTOP)
-    await asyncio.sleep(step.for_s)
-    instance.signal(signal.SIGCONT)
-    span.end = asyncio.get_running_loop().time()
-    world.record.disturbed.append(
-        Span(f"thaw {instance.name}", span.end, span.end)
-    )
+    with world.disturbed(instance.name):
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.for_s)
+        instance.signal(signal.SIGCONT)
+    world.thawed(instance)
     instance.held = False
 
 
@@ -424,48 +433,42 @@
 async def cut_store_way(world: World, step: Step) -> None:
     """Cuts an instance from the store, in one direction or both."""
     instance = world.instance_of(step)
-    span = world.disturb(instance.name)
-    instance.store.cut(step.how < 0.67, step.how > 0.33)
-    await asyncio.sleep(step.for_s)
-    instance.store.heal()
-    span.end = asyncio.get_running_loop().time()
-    world.record.disturbed.append(
-        Span(f"thaw {instance.name}", span.end, span.end)
-    )
+    with world.disturbed(instance.name):
+        instance.store.cut(step.how < 0.67, step.how > 0.33)
+        await asyncio.sleep(step.for_s)
+        instance.store.heal()
+    world.thawed(instance)
 
 
 @act
 async def refuse_store_way(world: World, step: Step) -> None:
     """Lets the store turn one instance away."""
     instance = world.instance_of(step)
-    span = world.disturb(instance.name)
-    world.store.refused[instance.name] = 503 if step.how < 0.5 else 429
-    await asyncio.sleep(step.for_s)
-    world.store.refused.pop(instance.name, None)
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(instance.name):
+        world.store.refused[instance.name] = 503 if step.how < 0.5 else 429
+        await asyncio.sleep(step.for_s)
+        world.store.refused.pop(instance.name, None)
 
 
 @act
 async def store_down(world: World, step: Step) -> None:
     """Takes the store away from all, with or without an answer."""
-    span = world.disturb("store")
-    if step.how < 0.5:
-        world.store.status = 503
-    else:
-        world.store.silent = True
-    await asyncio.sleep(step.for_s)
-    world.store.status, world.store.silent = 0, False
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed("store"):
+        if step.how < 0.5:
+            world.store.status = 503
+        else:
+            world.store.silent = True
+        await asyncio.sleep(step.for_s)
+        world.store.status, world.store.silent = 0, False
 
 
 @act
 async def store_slow(world: World, step: Step) -> None:
     """Makes each answer of the store take longer."""
-    span = world.disturb("store")
-    world.store.delay_s = 0.1 + 0.3 * step.how
-    await asyncio.sleep(step.for_s)
-    world.store.delay_s = 0.0
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed("store"):
+        world.store.delay_s = 0.1 + 0.3 * step.how
+        await asyncio.sleep(step.for_s)
+        world.store.delay_s = 0.0
 
 
 @act
@@ -489,40 +492,36 @@
 async def cut_target_way(world: World, step: Step) -> None:
     """Silences the way to a target, in one direction or both."""
     target = world.target_of(step)
-    span = world.disturb(target.identity)
-    target.link.cut(step.how < 0.67, step.how > 0.33)
-    await asyncio.sleep(step.for_s)
-    target.link.heal()
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(target.identity):
+        target.link.cut(step.how < 0.67, step.how > 0.33)
+        await asyncio.sleep(step.for_s)
+        target.link.heal()
 
 
 @act
 async def slow_target_way(world: World, step: Step) -> None:
     """Delays what goes to and comes from a target."""
     target = world.target_of(step)
-    span = world.disturb(target.identity)
-    target.link.delay_s = 0.05 + 0.3 * step.how
-    await asyncio.sleep(step.for_s)
-    target.link.heal()
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(target.identity):
+        target.link.delay_s = 0.05 + 0.3 * step.how
+        await asyncio.sleep(step.for_s)
+        target.link.heal()
 
 
 @act
 async def reset_target_way(world: World, step: Step) -> None:
     """Resets all connections to a target."""
     target = world.target_of(step)
-    span = world.disturb(target.identity)
-    target.link.reset()
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(target.identity):
+        target.link.reset()
 
 
 @act
 async def reset_callers(world: World, step: Step) -> None:
     """Resets all connections from callers to an instance."""
     instance = world.instance_of(step)
-    span = world.disturb(instance.name)
-    instance.callers.reset()
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(instance.name):
+        instance.callers.reset()
 
 
 @act
@@ -531,12 +530,11 @@
     target = world.target_of(step)
     if not target.alive:
         return
-    span = world.disturb(target.identity)
-    await target.crash()
-    await asyncio.sleep(step.for_s)
-    if not target.alive:
-        await target.start(same_identity=step.how < 0.4)
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(target.identity):
+        await target.crash()
+        await asyncio.sleep(step.for_s)
+        if not target.alive:
+            await target.start(same_identity=step.how < 0.4)
 
 
 @act
@@ -552,12 +550,11 @@
 async def spoil_target(world: World, step: Step) -> None:
     """Lets a target fail, break off, lose or withhold its answers."""
     target = world.target_of(step)
-    span = world.disturb(target.identity)
-    modes = ("errors", "cut", "mute", "lost")
-    target.mode = modes[int(step.how * len(modes))]
-    await asyncio.sleep(step.for_s)
-    target.mode = ""
-    span.end = asyncio.get_running_loop().time()
+    with world.disturbed(target.identity):
+        modes = ("errors", "cut", "mute", "lost")
+        target.mode = modes[int(step.how * len(modes))]
+        await asyncio.sleep(step.for_s)
+        target.mode = ""
 
 
 @act
--- a/tests/test_unreachable.py
+++ b/tests/test_unreachable.py
@@ -31,7 +31,7 @@
 
 def test_one_instance_is_not_believed():
     """A cut link of one instance must not empty a sound engine."""
-    judge = UnreachableTargets(builders_serving.PLACE.regions)
+    judge = UnreachableTargets(builders_serving.PLACE)
     assert not told(judge, 0.0, "n1")
     assert not told(judge, 0.1, "n1")
     assert judge.judged(0.1) == []
@@ -39,7 +39,7 @@
 
 def test_two_instances_of_a_region_are_believed_there():
     """A full link between regions emptied the far one for all instances."""
-    judge = UnreachableTargets(builders_serving.PLACE.regions)
+    judge = UnreachableTargets(builders_serving.PLACE)
     told(judge, 0.0, "n1", "dc-a")
     assert told(judge, 0.1, "n2", "dc-b")
     assert judge.judged(0.1)[0].regions == ["north"]
@@ -51,14 +51,14 @@
 
 def test_old_evidence_does_not_count():
     """Two short faults at different times are no crash."""
-    judge = UnreachableTargets(builders_serving.PLACE.regions)
+    judge = UnreachableTargets(builders_serving.PLACE)
     told(judge, 0.0, "n1")
     assert not told(judge, EVIDENCE_VALID_S + 0.1, "n2")
 
 
 def test_target_that_stays_away_is_tried_less_and_less():
     """All instances tried it again at the same moment."""
-    judge = UnreachableTargets(builders_serving.PLACE.regions)
+    judge = UnreachableTargets(builders_serving.PLACE)
     now, lengths = 0.0, []
     for _ in range(4):
         told(judge, now, "n1")
