Log what decides a final 4xx, and where a configuration comes from

Cause: a 404 named neither host nor path nor the age of the table, a refusal of the request reader had no status, and nothing told how long a value that was left out of a datagram was missing. Change: request_refused names method, host, path, status and the version, revision and age of the table; configuration_in_force names the version before and the routes that came and went; copy_read and value_read name the source, the revision and the delay. Result: tests/test_serving.py, test_storemirror.py, test_httpserver.py and test_badinput.py pass; the new test fails without the fields.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -186,6 +186,8 @@
         self._writer = writer
         peer = writer.get_extra_info("peername")
         self._client = f"{peer[0]}:{peer[1]}" if peer else "unknown"
+        # Path and query of the request that is being read, for its refusal.
+        self._target = ""
 
     def send(self, event: h11.Event) -> list[bytes]:
         """Passes one event to the transport; returns what h11 made of it."""
@@ -293,6 +295,7 @@
 
     async def _read_request(self) -> Request | None:
         bounds = self.settings.bounds
+        self._target = ""
         event = self.machine.next_event()
         if event is h11.NEED_DATA and not self.machine.trailing_data[0]:
             try:
@@ -313,6 +316,7 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
+        target = self._target = event.target.decode("latin-1")
         # h11 bounds only headers that arrive in parts.
         size = sum(len(k) + len(v) + 4 for k, v in event.headers)
         if size + len(event.target) > bounds.header_bytes:
@@ -332,7 +336,6 @@
             raise RefusalError(
                 408, "request body took too long", errors.Reason.TIMEOUT
             ) from None
-        target = event.target.decode("latin-1")
         path, _, query = target.partition("?")
         method = event.method.decode()
         return Request(method, path, query, headers, body, self._client, target)
@@ -370,7 +373,7 @@
     async def _refuse(self, refusal: RefusalError) -> None:
         """Answers without a handler and closes."""
         if self.machine.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body, headers = refusal.answer(self._client)
+            body, headers = refusal.answer(self._client, self._target)
             self.send(
                 h11.Response(status_code=refusal.status, headers=headers)  # type: ignore[arg-type]
             )
--- a/carobsail/refusals.py
+++ b/carobsail/refusals.py
@@ -5,6 +5,9 @@
 
 from carobsail import errors, telemetry
 
+# Characters of a path in a log line.
+MAX_LOGGED_PATH = 120
+
 _log = logging.getLogger(__name__)
 
 
@@ -23,21 +26,26 @@
             reason, errors.Step.READ, "caller", detail=detail
         )
 
-    def answer(self, client: str) -> tuple[bytes, list[tuple[str, str]]]:
+    def answer(
+        self, client: str, target: str
+    ) -> tuple[bytes, list[tuple[str, str]]]:
         """Logs the refusal and returns body and headers of its answer.
 
         Args:
           client: `host:port` of the caller.
+          target: Path and query of the request; empty if they were not read.
         """
         failure = self.failure
         telemetry.log(
             _log,
             "request_refused",
+            status=self.status,
             reason=str(failure.reason),
             step=str(failure.step),
             peer=client,
             outcome=str(failure.outcome),
             detail=failure.detail,
+            path=target[:MAX_LOGGED_PATH],
         )
         body = json.dumps(failure.describe(self.status)).encode() + b"\n"
         headers = [
--- a/carobsail/routetable.py
+++ b/carobsail/routetable.py
@@ -185,6 +185,10 @@
         """Returns all routes."""
         return [r for routes in self._by_host.values() for r in routes]
 
+    def places(self) -> set[tuple[str, str]]:
+        """Returns host and prefix of each route."""
+        return {(route.host, route.prefix) for route in self.routes()}
+
     def replaces(self, other: "RouteTable | None") -> bool:
         """Whether this table is newer than `other`."""
         if other is None:
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -13,6 +13,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import Any
 
 from carobsail import (
     answerrelay,
@@ -24,6 +25,7 @@
     followup,
     httpserver,
     promptmemory,
+    refusals,
     repeatbudget,
     routetable,
     sendrates,
@@ -116,6 +118,7 @@
 
     Attributes:
       table: Configuration in force, or None before the first one.
+      table_since: Loop time at which it came into force.
       book: Targets.
       members: Number of instances known, this one included.
       waiting: Requests that wait for a model or adapter, by name.
@@ -148,6 +151,7 @@
           rng: Source of random choices.
         """
         self.table: routetable.RouteTable | None = None
+        self.table_since = 0.0
         self.book = book
         self.members = UNKNOWN_MEMBERS
         self.in_flight = 0
@@ -199,9 +203,7 @@
         now = asyncio.get_running_loop().time()
         call = self._admit(request, responder, now)
         if isinstance(call, errors.Failure):
-            terms = self._wire.read_terms(request)
-            name = "" if isinstance(terms, errors.Failure) else terms.request
-            await self._answer_failure(responder, name, call, None)
+            await self._refuse_unadmitted(request, responder, call, now)
             return
         self.in_flight += 1
         work = asyncio.create_task(self._serve(call))
@@ -220,6 +222,30 @@
         if not work.cancelled() and (error := work.exception()):
             raise error
 
+    async def _refuse_unadmitted(
+        self,
+        request: httpserver.Request,
+        responder: httpserver.Responder,
+        failure: errors.Failure,
+        now: float,
+    ) -> None:
+        """Refuses a request before it has a route, and logs what decided."""
+        terms = self._wire.read_terms(request)
+        name, host = "", request.header("host")
+        if not isinstance(terms, errors.Failure):
+            name, host = terms.request, terms.host
+        await self._answer_failure(
+            responder,
+            name,
+            failure,
+            None,
+            method=request.method,
+            host=host,
+            path=request.path[: refusals.MAX_LOGGED_PATH],
+            table_revision=self.table.revision if self.table else 0,
+            table_age_s=now - self.table_since,
+        )
+
     def _admit(
         self,
         request: httpserver.Request,
@@ -600,8 +626,17 @@
         request: str,
         failure: errors.Failure,
         want: targetchoice.Want | None,
+        **inputs: Any,
     ) -> None:
-        """Answers with a failure of carobsail's own."""
+        """Answers with a failure of carobsail's own.
+
+        Args:
+          responder: Takes the answer.
+          request: Identifier of the request; empty if it has none.
+          failure: Why the request fails.
+          want: What the request asks of a target, if it was admitted.
+          inputs: What else decided the failure, for its log line.
+        """
         status = _status(failure)
         if status == 503 and failure.retry_after_s is None:
             failure = dataclasses.replace(
@@ -618,6 +653,7 @@
             retry_after_s=failure.retry_after_s,
             table_version=self.table.version if self.table else 0,
             model=want.model if want else "",
+            **inputs,
         )
         self._metrics.count(f"refused_{failure.reason}")
         await responder.send(
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -278,7 +278,9 @@
                 revision=table.revision,
             )
             return False
+        before = self._serving.table
         self._serving.table = table
+        self._serving.table_since = asyncio.get_running_loop().time()
         limits = table.limits
         if self._callers is not None:
             self._callers.bounds = dataclasses.replace(
@@ -294,6 +296,9 @@
             version=table.version,
             revision=table.revision,
             routes=len(table.routes()),
+            version_before=before.version if before else 0,
+            added=len(table.places() - (before.places() if before else set())),
+            removed=len(before.places() - table.places()) if before else 0,
         )
         return True
 
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -260,7 +260,8 @@
         it from the store, the link between regions takes seconds.
         """
         loop = asyncio.get_running_loop()
-        peer_until = loop.time() + PEER_VALUE_S
+        started_at = loop.time()
+        peer_until = started_at + PEER_VALUE_S
         while True:
             known = self._known.get(event.key)
             if known is not None and known.mod_revision >= event.mod_revision:
@@ -283,6 +284,15 @@
                 if not from_peer:
                     return  # It was deleted; that change comes by itself.
             elif value.mod_revision >= event.mod_revision:
+                telemetry.log(
+                    _log,
+                    "value_read",
+                    key=event.key,
+                    peer=source if from_peer else "store",
+                    revision=value.mod_revision,
+                    told_revision=event.mod_revision,
+                    after_s=loop.time() - started_at,
+                )
                 found = keyvalue.WatchEvent(
                     value.key, value.value, value.mod_revision
                 )
@@ -304,6 +314,7 @@
 
     async def _read_all(self) -> errors.Failure | None:
         result = await self._read_relay()
+        read_store = result is None
         if result is None:
             read = await self._client.range(self._prefix)
             if isinstance(read, errors.Failure):
@@ -317,6 +328,14 @@
                 "store",
                 detail=f"revision {result.revision} is before {self.revision}",
             )
+        telemetry.log(
+            _log,
+            "copy_read",
+            source="store" if read_store else self.relay_address,
+            keys=len(result.values),
+            revision=result.revision,
+            revision_before=self.revision,
+        )
         self._take_all(result)
         return None
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 
 import builders_io
 import pytest
@@ -152,6 +153,22 @@
     assert status(await ask(request_path(table(route())), "/b/")) == 404
 
 
+async def test_denied_request_is_logged_with_what_decided(caplog):
+    """Without host and path, a wrong 404 looked like a right one."""
+    caplog.set_level(logging.INFO, "carobsail")
+    await ask(request_path(table(route(), version=7)), "/b/x")
+    await ask(request_path(table(route())), Carobsail_Token_Count="many")
+    unknown, malformed = [
+        r.msg for r in caplog.records if r.msg["event"] == "request_refused"
+    ]
+    assert unknown["request"] == "q1" and unknown["status"] == 404
+    assert (unknown["host"], unknown["path"]) == ("host.example", "/b/x")
+    assert unknown["table_version"] == unknown["table_revision"] == 7
+    assert unknown["table_age_s"] >= 0.0
+    assert malformed["status"] == 400 and "many" in malformed["detail"]
+    assert malformed["path"] == "/a/x"
+
+
 async def test_unsafe_request_is_not_repeated_after_a_reset():
     """The target may have run it; a booking was made twice."""
     first, second = await Target(None).start(), await Target().start()
