Reproduce late configurations on a fleet without its relay

Evidence: while the order giver is cut off from the store, every instance reads the changes from the store itself. A version with 1,400 added routes takes 550 KB; 33 instances of Lecco share 30 Mbit/s, run into the time-out of 4 s and begin again. Change: a fleet of 39 instances on virtual time, with the real clients and servers over such links.

--- /dev/null
+++ b/tests/test_storemirror_fleet.py
@@ -0,0 +1,40 @@
+"""Guards how soon a configuration is in force on a whole fleet (R8)."""
+
+import asyncio
+
+import pytest
+from builders_mirrors import Fleet
+
+pytestmark = pytest.mark.memory_network
+
+# A configuration is in force on each instance within this time (users' pages).
+APPLY_S = 4.0
+# Size of a configuration of 305 models, and of one with 1,400 routes more.
+SMALL, LARGE = 130_000, 410_000
+
+
+async def running_fleet():
+    """Returns instances of two regions that follow the relay."""
+    fleet = Fleet(near=6, far=33, far_places=3)
+    await fleet.change(1, SMALL)
+    await fleet.start()
+    await asyncio.sleep(5.0)
+    return fleet
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+async def test_configuration_is_in_force_in_time_without_the_relay(size):
+    """DENIED: 33 instances read 550 KB each over one link and gave up.
+
+    The relay had lost the store; added routes were answered 404 for 18 s.
+    """
+    fleet = await running_fleet()
+    fleet.relay.cut = True
+    await asyncio.sleep(0.5)
+    second = await fleet.change(2, size)
+    await asyncio.sleep(2.5)
+    third = await fleet.change(3, size)
+    await asyncio.sleep(8.0)
+    await fleet.stop()
+    assert not fleet.late(2, second, APPLY_S)
+    assert not fleet.late(3, third, APPLY_S)
