Keep the changes of one revision in one message of the relay

A target that leaves, or a lease that ends with several keys, could stay listed. A receiver takes a revision for complete after the first message and ignores the second one. Change: a message ends only where the revision changes. Evidence: test_keys_of_one_revision_stay_in_one_message failed before (the second message began after the revision of its own keys).

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -66,7 +66,9 @@
                 omitted,
             )
             length = len(row.key) + len(row.value or b"")
-            if rows and size + length > MAX_CHANGE_BYTES:
+            # A receiver takes a revision for complete after one message.
+            ended = bool(rows) and rows[-1].revision < row.revision
+            if ended and size + length > MAX_CHANGE_BYTES:
                 self._send(fence, rows, before, rows[-1].revision)
                 before, rows, size = rows[-1].revision, [], 0
             rows.append(row)
