Let a relay that lost the store ask two different deputies

Cause: in a data centre with one other instance, the relay named that one twice, so one lost instance left it without any. Change: the deputies of the relay are the first two other instances, those of its own data centre first. Evidence: test_each_data_centre_has_two_deputies failed before (the same address twice); test_changerelay and test_coordination pass.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -111,9 +111,13 @@
 
     def deputies(self) -> list[str]:
         """Returns whom this instance asks if it is cut off from the store."""
-        places = self._members.by_data_centre()
-        peers = places.get(self._data_centre, []) + self._members.peers()
-        return [self._port_of(p.address) for p in peers[: storemirror.DEPUTIES]]
+        near_first = sorted(
+            self._members.peers(),
+            key=lambda p: p.data_centre != self._data_centre,
+        )
+        return [
+            self._port_of(p.address) for p in near_first[: storemirror.DEPUTIES]
+        ]
 
     def _port_of(self, address: str) -> str:
         return f"{address}:{self._operator_port}"
--- a/tests/test_changerelay.py
+++ b/tests/test_changerelay.py
@@ -62,3 +62,4 @@
         "10.1.0.2": (["10.1.0.1:8144"], False),
         "10.1.0.3": (["10.1.0.1:8144", "10.1.0.2:8144"], False),
     }
+    assert relay.deputies() == ["10.0.0.2:8144", "10.1.0.1:8144"]
