Give up a stream whose event never ends

What callers saw: a target that sends a line, or comment lines, without the blank line that ends an event kept its caller waiting until the caller's time was over, although another target could have resumed the stream. All that came was held in memory, and copied again with each read.

Cause: the event cursor kept the incomplete event without a bound, and what reads streams asked only for whole events.

Change: an incomplete event above 256 KiB ends the answer as cut. Its connection is closed; what may be resumed goes on elsewhere, anything else ends with 502 or a broken body, as it may have run.

Evidence, before the change, against a server that sends 16 KiB every 10 ms: the resumable stream was cut at its caller's 5 s without event 2, the plain one got 504 at 5 s instead of 502, and the owner's relay read the endless stream to its end and left it open. The new tests failed; they pass now.

--- a/carobsail/answerrelay.py
+++ b/carobsail/answerrelay.py
@@ -89,7 +89,7 @@
         if call.route.repeat is routetable.Repeat.STREAM and (
             200 <= answer.status < 300
         ):
-            return await self._relay_stream(call, target, answer, load)
+            return await self._relay_stream(call, target, pool, answer, load)
         return await self._relay_whole(call, pool, answer)
 
     async def _relay_whole(
@@ -112,6 +112,7 @@
         self,
         call: calls.Call,
         target: targetbook.Target,
+        pool: httpclient.Pool,
         answer: httpclient.Answer,
         load: targetpools.TargetLoad,
     ) -> errors.Failure | None:
@@ -122,6 +123,11 @@
             if isinstance(chunk, errors.Failure):
                 return chunk
             whole = call.cursor.feed(chunk)
+            if not whole and call.cursor.overlong:
+                await answer.close()
+                return pool.failure(
+                    errors.Reason.ANSWER_CUT, "an event without an end"
+                )
             if not whole:
                 continue
             if not load.started:
--- a/carobsail/answers.py
+++ b/carobsail/answers.py
@@ -184,6 +184,15 @@
                 return chunk
             self._flight.progress_at = loop.time()
             data = cursor.feed(chunk) if cursor else chunk
+            if cursor and cursor.overlong:
+                await stream.close()
+                return errors.Failure(
+                    errors.Reason.ANSWER_CUT,
+                    errors.Step.ANSWER,
+                    self._flight.request.target,
+                    errors.Outcome.UNKNOWN,
+                    "an event without an end",
+                )
             if not data:
                 continue
             self._length += len(data)
--- a/carobsail/eventstream.py
+++ b/carobsail/eventstream.py
@@ -4,6 +4,9 @@
 stream can be resumed after its last event without a lost or doubled token.
 """
 
+# Largest event that is held until its end. An event holds a few tokens, or
+# one message of a chat; this is some 60,000 tokens.
+MAX_EVENT_BYTES = 262_144
 _SEPARATOR = b"\n\n"
 _ID_FIELD = b"id:"
 
@@ -22,6 +25,11 @@
         self._last_whole = b""
         self.finished = False
 
+    @property
+    def overlong(self) -> bool:
+        """Whether the incomplete event is too long to wait for its end."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Takes received bytes and returns those that end whole events."""
         if self._partial:
--- a/tests/builders_io.py
+++ b/tests/builders_io.py
@@ -47,6 +47,54 @@
     return await asyncio.start_server(accept, "127.0.0.1", 0)
 
 
+class EndlessServer:
+    """A server that reads one request and then sends until the caller closes.
+
+    Attributes:
+      requests: Requests received.
+      sent: Bytes sent after the first ones of each connection.
+      closed: Connections that the caller closed.
+      port: Port of the server.
+    """
+
+    def __init__(self, first: bytes, piece: bytes, pause_s: float = 0.01):
+        """Creates a server that does not listen yet.
+
+        Args:
+          first: Bytes sent once on each connection.
+          piece: Bytes sent again and again after them.
+          pause_s: Seconds before each piece.
+        """
+        self.requests = 0
+        self.sent = 0
+        self.closed = 0
+        self.port = 0
+        self._first = first
+        self._piece = piece
+        self._pause_s = pause_s
+
+    async def start(self) -> "EndlessServer":
+        """Listens on a free port."""
+        listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = port_of(listener)
+        return self
+
+    async def _accept(self, reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            writer.write(self._first)
+            while not reader.at_eof():
+                await asyncio.sleep(self._pause_s)
+                writer.write(self._piece)
+                await writer.drain()
+                self.sent += len(self._piece)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # The caller closed.
+        self.closed += 1
+        writer.close()
+
+
 def port_of(listener: asyncio.Server) -> int:
     """Returns the port of a listening server."""
     return listener.sockets[0].getsockname()[1]
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -23,6 +23,16 @@
     assert received == STREAM
 
 
+def test_event_without_an_end_is_told():
+    """Bytes that never end an event were held without a bound."""
+    cursor = eventstream.EventCursor()
+    for _ in range(eventstream.MAX_EVENT_BYTES // 4096):
+        assert cursor.feed(b": c\n" * 1024) == b""
+        assert not cursor.overlong
+    cursor.feed(b"x")
+    assert cursor.overlong
+
+
 def test_done_event_without_identifier_keeps_the_position():
     """The final event has no identifier; a resume still needs one."""
     cursor = eventstream.EventCursor()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -328,6 +328,44 @@
     assert not received.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("piece", [b"d" * 16_384, b": c\n" * 4096])
+async def test_stream_without_a_whole_event_is_given_up(piece):
+    """All that came was held in memory until the caller's time was over."""
+    endless = builders_io.EndlessServer(HEAD + chunk(event(1)), chunk(piece))
+    await endless.start()
+    rest = await Target(HEAD + chunk(event(2)) + b"0\r\n\r\n").start()
+    served = request_path(
+        table(stream_route()),
+        engine_entry("e1", address=f"127.0.0.1:{endless.port}"),
+        rest.engine("e2", data_centre="dc-c"),
+    )
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    received = await generate(served)
+    assert received.endswith(chunk(event(2)) + b"0\r\n\r\n")
+    assert b"last-event-id: 1" in rest.requests[0].lower()
+    assert loop.time() - began < 1.0
+    await asyncio.sleep(0.1)
+    assert endless.sent < 1_000_000
+    assert endless.closed == 1
+
+
+async def test_stream_without_a_whole_event_does_not_run_twice():
+    """A stream that may not be resumed may have run (TWICE, REFUSED)."""
+    endless = builders_io.EndlessServer(HEAD, chunk(b"d" * 16_384))
+    await endless.start()
+    other = await Target().start()
+    served = request_path(
+        table(stream_route(resumable=False)),
+        engine_entry("e1", address=f"127.0.0.1:{endless.port}"),
+        other.engine("e2", data_centre="dc-c"),
+    )
+    assert status(await generate(served)) == 502
+    assert not other.requests
+    await asyncio.sleep(0.1)
+    assert endless.closed == 1
+
+
 async def test_request_waits_for_its_model_to_be_told():
     """A request for an absent model is held while a load may come."""
     target = await Target(OK).start()
--- a/tests/test_targetrunner.py
+++ b/tests/test_targetrunner.py
@@ -31,6 +31,18 @@
     assert len(sender.executions) == 1
 
 
+async def test_event_without_an_end_is_resumed_elsewhere():
+    """A stream whose event never ends was held in memory until its end."""
+    first = fakes.FakeStream([*fakes.EVENTS[:4], *[b"x" * 65_536] * 50, cut()])
+    rest = fakes.FakeStream(fakes.EVENTS[4:])
+    sender = fakes.FakeSender([first], [rest])
+    sink = fakes.Collector()
+    await fakes.build_runner(sender).run(fakes.build_dispatch(), sink)
+    assert first.closed
+    assert sink.body == fakes.STREAM
+    assert sender.resumed_after == [("a1", "4")]
+
+
 async def test_cut_booking_has_an_unknown_outcome():
     """R4, R5: a service that broke the connection may have booked."""
     stream = fakes.FakeStream([b"{", cut()], headers=[])
