Do not wait for the end of a refusal's body

What callers saw: a target that refuses a request, with the header that says that nothing ran, and whose body then never ends kept the request until its caller's time was over. It ended with 504 where another target could have run it, also if it was unsafe.

Cause: the head alone counts as the proof, but the body was read without a bound in time, up to 4 MiB on the platform's request path.

Change: the body of a refusal is read for 0.2 s and up to 64 KiB; then its connection is closed and the refusal holds without its text.

--- a/carobsail/answerrelay.py
+++ b/carobsail/answerrelay.py
@@ -16,6 +16,9 @@
 
 # Largest answer that is held whole before it is passed on.
 MAX_ANSWER_BYTES = 4_194_304
+# Largest body of a refusal that is read; the connection of a longer one is not
+# used again. A refusal says why in some 100 bytes.
+MAX_REFUSAL_BYTES = 65_536
 # Answers to requests of others that are read past before ours is given up.
 MAX_EXTRA_ANSWERS = 2
 
@@ -71,9 +74,9 @@
             target.load_running, target.load_waiting, _ = head.load
             target.load_at = asyncio.get_running_loop().time()
         if head.not_run:
-            body = await answer.read(MAX_ANSWER_BYTES)
+            body = await answer.read_refusal(MAX_REFUSAL_BYTES)
             detail = f"status {answer.status}"
-            if isinstance(body, bytes) and body:
+            if body:
                 detail += f": {body[:80].decode('latin-1')}"
             return pool.failure(
                 errors.Reason.TARGET_REFUSED, detail, errors.Outcome.NOT_RUN
--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -19,6 +19,9 @@
 _HEAD_BYTES = 65_536
 # Below the idle timeout of common servers, so that reuse rarely meets a close.
 _IDLE_S = 15.0
+# A refusal is sent in one piece; a further piece takes a round trip of 40 ms
+# between regions, and more on a busy link.
+_REFUSAL_S = 0.2
 
 
 # A peer without power or behind a cut is noticed after about this time.
@@ -215,6 +218,22 @@
             parts.append(chunk)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
+    async def read_refusal(self, limit: int) -> bytes:
+        """Returns the body of a refusal, or nothing if it does not end soon.
+
+        The head has told already that nothing ran; the body only explains it
+        and lets the connection be used again.
+
+        Args:
+          limit: Largest body in bytes that is read.
+        """
+        try:
+            async with asyncio.timeout(_REFUSAL_S):
+                body = await self.read(limit)
+        except TimeoutError:
+            return b""
+        return b"" if isinstance(body, errors.Failure) else body
+
     def take_connection(self) -> _Connection | None:
         """Hands the connection over; this answer reads no further."""
         connection, self._connection = self._connection, None
--- a/carobsail/services.py
+++ b/carobsail/services.py
@@ -97,7 +97,7 @@
                 return dataclasses.replace(answer, outcome=outcome)
             return answer
         if answer.status == 503 and answer.header("x-not-started") == "1":
-            await answer.read(_REFUSAL_BYTES)
+            await answer.read_refusal(_REFUSAL_BYTES)
             return refusal(self._pool, answer)
         return HttpAnswer(answer)
 
--- a/tests/test_enginehttp.py
+++ b/tests/test_enginehttp.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from carobsail import errors
+from carobsail import enginehttp, errors
 from carobsail.standin_engine import Cut
 from carobsail.standin_generation import answer_text
 from tests import builders_io as build
@@ -120,6 +120,22 @@
     assert build.text_of(data) == answer_text(request.body, 8)
 
 
+async def test_refusal_without_an_end_is_a_refusal():
+    """R4: a body that never ends held back that nothing had run."""
+    server = build.EndlessServer(
+        b"HTTP/1.1 503 x\r\nx-not-started: 1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"1\r\ny\r\n",
+    )
+    await server.start()
+    client = enginehttp.HttpEngine("e1", f"127.0.0.1:{server.port}")
+    async with asyncio.timeout(1.0):
+        failure = await client.send(build.dispatch(build.chat()))
+    assert failure.outcome is errors.Outcome.NOT_RUN
+    await asyncio.sleep(0.1)
+    assert server.closed == 1
+
+
 async def test_orders_and_reports():
     """R1: refused orders must say so, and reports must show the memory."""
     standin, client = await build.engine(checks_fencing=True)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -366,6 +366,32 @@
     assert endless.closed == 1
 
 
+@pytest.mark.parametrize(
+    ("piece", "at_most"), [(b"y", 1000), (b"y" * 16_384, 200_000)]
+)
+async def test_refusal_without_an_end_goes_on_elsewhere(piece, at_most):
+    """A request that had not run was held until its caller's time was over."""
+    refused = REFUSED.replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    endless = builders_io.EndlessServer(refused, chunk(piece))
+    await endless.start()
+    other = await Target().start()
+    served = request_path(
+        table(route(repeat=Repeat.UNSAFE)),
+        entry("t1", address=f"127.0.0.1:{endless.port}"),
+        other.entry("t2", data_centre="dc-c"),
+    )
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    received = await ask(served, method="POST", Content_Length="0")
+    assert status(received) == 200
+    assert loop.time() - began < 0.5
+    await asyncio.sleep(0.1)
+    assert endless.requests == endless.closed == 1
+    assert endless.sent < at_most
+
+
 async def test_request_waits_for_its_model_to_be_told():
     """A request for an absent model is held while a load may come."""
     target = await Target(OK).start()
