Bound the interim answers before an answer

What callers saw: a target that sends 1xx answers without end kept its request until the caller's time was over, and held up all other work of the instance: with a flood on the loopback interface, the event loop stood still for 1.1 s at a time.

Cause: interim answers were read past in a loop without a bound. After an answer to another request they were not read past at all, and the answer behind them was lost.

Change: one function reads the next head in both places and gives up after 64 interim answers; the outcome is unknown, as the request was sent.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -17,6 +17,9 @@
 
 _READ_BYTES = 65_536
 _HEAD_BYTES = 65_536
+# Interim answers (1xx) before an answer. A server that works for minutes may
+# send one every few seconds; h11 takes some 50 us for each.
+_MAX_INTERIM = 64
 # Below the idle timeout of common servers, so that reuse rarely meets a close.
 _IDLE_S = 15.0
 # A refusal is sent in one piece; a further piece takes a round trip of 40 ms
@@ -91,6 +94,22 @@
             self.body.receive_head(await self._read())
         return event
 
+    async def next_head(self) -> h11.Response | None:
+        """Returns the head of the next answer after its interim answers.
+
+        Returns:
+          The head; None if the connection ended before it.
+
+        Raises:
+          OSError: The connection failed.
+          h11.RemoteProtocolError: The answer is malformed or ended early.
+        """
+        for _ in range(_MAX_INTERIM + 1):
+            event = await self.next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event if isinstance(event, h11.Response) else None
+        raise h11.RemoteProtocolError("interim answers without an end")
+
     async def receive(self) -> None:
         """Reads once from the connection, while the body is read."""
         self.body.receive(await self._read())
@@ -436,19 +455,19 @@
                     )
                 await connection.receive()
             connection.expect_next(method)
-            event = await connection.next_event()
+            head = await connection.next_head()
         except (OSError, h11.RemoteProtocolError) as error:
             self.discard(connection)
             return self.failure(errors.Reason.CONNECTION_LOST, str(error))
         except BaseException:
             self.discard(connection)
             raise
-        if not isinstance(event, h11.Response):
+        if head is None:
             self.discard(connection)
             return self.failure(
                 errors.Reason.CONNECTION_LOST, "closed before the answer"
             )
-        return Answer(self, connection, event)
+        return Answer(self, connection, head)
 
     async def _exchange(
         self,
@@ -482,16 +501,14 @@
         # without waiting for the write: it may come before the body is read.
         connection.writer.write(parts)
         try:
-            event = await connection.next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await connection.next_event()
+            head = await connection.next_head()
         except (OSError, h11.RemoteProtocolError) as error:
             return self.failure(errors.Reason.CONNECTION_LOST, str(error))
-        if not isinstance(event, h11.Response):
+        if head is None:
             return self.failure(
                 errors.Reason.CONNECTION_LOST, "closed before the answer"
             )
-        return Answer(self, connection, event)
+        return Answer(self, connection, head)
 
     def give_back(self, connection: _Connection) -> None:
         """Takes a connection whose answer was read to its end."""
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -144,6 +144,30 @@
     assert pool.connects == 2
 
 
+async def test_interim_answers_without_an_end_are_given_up():
+    """Each of them cost time of the event loop until the caller left."""
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    server = build.EndlessServer(b"", interim)
+    await server.start()
+    async with asyncio.timeout(2.0):
+        failure = await call(build.pool(server.port))
+    assert failure.reason is errors.Reason.CONNECTION_LOST
+    assert failure.outcome is errors.Outcome.UNKNOWN
+    await asyncio.sleep(0.1)
+    assert server.closed == 1
+    assert server.sent < 100 * len(interim)
+
+
+async def test_interim_answers_are_read_past():
+    """A server that works for long says so, also after a stray answer."""
+    interim = b"HTTP/1.1 102 Processing\r\n\r\n" * 60
+    listener = await build.raw_server(interim + WHOLE + interim + WHOLE)
+    pool = build.pool(build.port_of(listener))
+    first = await pool.request("GET", "/", [], b"")
+    second = await pool.skip(first, "GET", 1000)
+    assert await second.read(1000) == b"ok"
+
+
 async def test_late_stray_answer_reaches_no_later_request():
     """R3: an answer sent twice must not answer the next request."""
 
