Close an idle connection as soon as something arrives on it

What would be seen: a target, store or peer that sends bytes without end after a whole answer kept the connection, a socket and some 100 KB of held bytes, until that connection was next in turn to be used; one at the bottom of the pool, or of a pool that only unsafe requests use, never was. A connection that the server closed kept its socket as long.

Cause: an idle connection was looked at only when a request took it.

Change: the reader of an idle connection tells the pool when bytes, the end or a reset arrive, and the pool closes it at once. What follows is never read as an answer, as before.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import functools
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -52,13 +53,32 @@
 
 
 class _Reader(asyncio.StreamReader):
-    """Counts received bytes, to find bytes that no request asked for."""
+    """Counts received bytes, to find bytes that no request asked for.
+
+    Attributes:
+      received: Bytes received.
+      on_input: Called when bytes, the end or a reset arrive while no request
+        is under way.
+    """
 
     received = 0
+    on_input: Callable[[], None] | None = None
 
     def feed_data(self, data: Any) -> None:
         self.received += len(data)
         super().feed_data(data)
+        if self.on_input is not None:
+            self.on_input()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        if self.on_input is not None:
+            self.on_input()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        if self.on_input is not None:
+            self.on_input()
 
 
 class _Connection:
@@ -394,6 +414,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
+            connection.reader.on_input = None
             if now - connection.idle_since < self._idle_s:
                 # The loop reads the socket between two passes, so a close or
                 # stray bytes that have arrived are seen before writing.
@@ -534,9 +555,22 @@
             return
         machine.start_next_cycle()
         connection.idle_since = asyncio.get_running_loop().time()
+        connection.reader.on_input = functools.partial(
+            self._drop_idle, connection
+        )
         self._idle.append(connection)
         self._free.release()
 
+    def _drop_idle(self, connection: _Connection) -> None:
+        """Closes an idle connection on which something arrived.
+
+        The server closed it, or sends bytes that answer no request; those
+        could go on without end.
+        """
+        connection.reader.on_input = None
+        self._idle.remove(connection)
+        connection.writer.transport.abort()
+
     def discard(self, connection: _Connection) -> None:
         """Closes a connection that was in use.
 
@@ -550,4 +584,6 @@
         """Closes the idle connections; those in use close after use."""
         self._closed = True
         while self._idle:
-            self._idle.pop().writer.close()
+            connection = self._idle.pop()
+            connection.reader.on_input = None
+            connection.writer.close()
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -200,6 +200,29 @@
     assert await second.read(1000) == b"ok"
 
 
+async def test_bytes_after_a_whole_answer_end_their_connection():
+    """Extra bytes without end were held until the connection was used."""
+    server = build.EndlessServer(WHOLE, b"x" * 16_384)
+    await server.start()
+    pool = build.pool(server.port)
+    assert await call(pool) == b"ok"
+    await asyncio.sleep(1.0)
+    assert server.closed == 1
+    assert server.sent < 100_000
+    assert await call(pool) == b"ok"
+    assert pool.connects == 2
+
+
+async def test_idle_connection_that_the_server_closed_is_closed():
+    """Each one kept its socket until it was next in turn to be used."""
+    server = await build.server(idle_timeout_s=1.0)
+    pool = build.pool(server.port)
+    assert await call(pool) == b"x"
+    await asyncio.sleep(2.0)
+    assert not pool._idle
+    assert server.connections == 0
+
+
 async def test_late_stray_answer_reaches_no_later_request():
     """R3: an answer sent twice must not answer the next request."""
 
