--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import functools
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -17,8 +18,14 @@
 
 _READ_BYTES = 65_536
 _HEAD_BYTES = 65_536
+# Interim answers (1xx) before an answer. A server that works for minutes may
+# send one every few seconds; h11 takes some 50 us for each.
+_MAX_INTERIM = 64
 # Below the idle timeout of common servers, so that reuse rarely meets a close.
 _IDLE_S = 15.0
+# A refusal is sent in one piece; a further piece takes a round trip of 40 ms
+# between regions, and more on a busy link.
+_REFUSAL_S = 0.2
 
 
 # A peer without power or behind a cut is noticed after about this time.
@@ -46,13 +53,32 @@
 
 
 class _Reader(asyncio.StreamReader):
-    """Counts received bytes, to find bytes that no request asked for."""
+    """Counts received bytes, to find bytes that no request asked for.
+
+    Attributes:
+      received: Bytes received.
+      on_input: Called when bytes, the end or a reset arrive while no request
+        is under way.
+    """
 
     received = 0
+    on_input: Callable[[], None] | None = None
 
     def feed_data(self, data: Any) -> None:
         self.received += len(data)
         super().feed_data(data)
+        if self.on_input is not None:
+            self.on_input()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        if self.on_input is not None:
+            self.on_input()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        if self.on_input is not None:
+            self.on_input()
 
 
 class _Connection:
@@ -88,11 +114,31 @@
             self.body.receive_head(await self._read())
         return event
 
+    async def next_head(self) -> h11.Response | None:
+        """Returns the head of the next answer after its interim answers.
+
+        Returns:
+          The head; None if the connection ended before it.
+
+        Raises:
+          OSError: The connection failed.
+          h11.RemoteProtocolError: The answer is malformed or ended early.
+        """
+        for _ in range(_MAX_INTERIM + 1):
+            event = await self.next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event if isinstance(event, h11.Response) else None
+        raise h11.RemoteProtocolError("interim answers without an end")
+
     async def receive(self) -> None:
         """Reads once from the connection, while the body is read."""
         self.body.receive(await self._read())
 
     async def _read(self) -> bytes:
+        if self.reader.received > self.consumed:
+            # A read of what has arrived already does not wait, so a server
+            # that sends without end would keep all other work waiting.
+            await asyncio.sleep(0)
         data = await self.reader.read(_READ_BYTES)
         self.consumed += len(data)
         return data
@@ -182,7 +228,10 @@
                 if isinstance(end, h11.RemoteProtocolError):
                     detail = str(end)
                     break
-                await connection.receive()
+                if end is answerbody.MORE:
+                    await asyncio.sleep(0)
+                else:
+                    await connection.receive()
         except OSError as error:
             detail = str(error)
         finally:
@@ -227,6 +276,22 @@
                     patience.reschedule(loop.time() + silence_s)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
+    async def read_refusal(self, limit: int) -> bytes:
+        """Returns the body of a refusal, or nothing if it does not end soon.
+
+        The head has told already that nothing ran; the body only explains it
+        and lets the connection be used again.
+
+        Args:
+          limit: Largest body in bytes that is read.
+        """
+        try:
+            async with asyncio.timeout(_REFUSAL_S):
+                body = await self.read(limit)
+        except TimeoutError:
+            return b""
+        return b"" if isinstance(body, errors.Failure) else body
+
     def take_connection(self) -> _Connection | None:
         """Hands the connection over; this answer reads no further."""
         connection, self._connection = self._connection, None
@@ -361,6 +426,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
+            connection.reader.on_input = None
             if now - connection.idle_since < self._idle_s:
                 # The loop reads the socket between two passes, so a close or
                 # stray bytes that have arrived are seen before writing.
@@ -427,21 +493,24 @@
                     return self.failure(
                         errors.Reason.CONNECTION_LOST, f"extra answer: {end}"
                     )
-                await connection.receive()
+                if end is answerbody.MORE:
+                    await asyncio.sleep(0)
+                else:
+                    await connection.receive()
             connection.expect_next(method)
-            event = await connection.next_event()
+            head = await connection.next_head()
         except (OSError, h11.RemoteProtocolError) as error:
             self.discard(connection)
             return self.failure(errors.Reason.CONNECTION_LOST, str(error))
         except BaseException:
             self.discard(connection)
             raise
-        if not isinstance(event, h11.Response):
+        if head is None:
             self.discard(connection)
             return self.failure(
                 errors.Reason.CONNECTION_LOST, "closed before the answer"
             )
-        return Answer(self, connection, event)
+        return Answer(self, connection, head)
 
     async def _exchange(
         self,
@@ -475,16 +544,14 @@
         # without waiting for the write: it may come before the body is read.
         connection.writer.write(parts)
         try:
-            event = await connection.next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await connection.next_event()
+            head = await connection.next_head()
         except (OSError, h11.RemoteProtocolError) as error:
             return self.failure(errors.Reason.CONNECTION_LOST, str(error))
-        if not isinstance(event, h11.Response):
+        if head is None:
             return self.failure(
                 errors.Reason.CONNECTION_LOST, "closed before the answer"
             )
-        return Answer(self, connection, event)
+        return Answer(self, connection, head)
 
     def give_back(self, connection: _Connection) -> None:
         """Takes a connection whose answer was read to its end."""
@@ -500,9 +567,22 @@
             return
         machine.start_next_cycle()
         connection.idle_since = asyncio.get_running_loop().time()
+        connection.reader.on_input = functools.partial(
+            self._drop_idle, connection
+        )
         self._idle.append(connection)
         self._free.release()
 
+    def _drop_idle(self, connection: _Connection) -> None:
+        """Closes an idle connection on which something arrived.
+
+        The server closed it, or sends bytes that answer no request; those
+        could go on without end.
+        """
+        connection.reader.on_input = None
+        self._idle.remove(connection)
+        connection.writer.transport.abort()
+
     def discard(self, connection: _Connection) -> None:
         """Closes a connection that was in use.
 
@@ -516,4 +596,6 @@
         """Closes the idle connections; those in use close after use."""
         self._closed = True
         while self._idle:
-            self._idle.pop().writer.close()
+            connection = self._idle.pop()
+            connection.reader.on_input = None
+            connection.writer.close()
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -144,6 +144,85 @@
     assert pool.connects == 2
 
 
+@pytest.mark.parametrize(
+    "size_line", [b"1\r\n", b"1;x\r\n"], ids=["plain", "extension"]
+)
+async def test_body_that_is_there_leaves_time_to_others(size_line):
+    """Other work waited until all that had arrived was read."""
+    count = 20_000
+    body = (size_line + b"y\r\n") * count + b"0\r\n\r\n"
+    listener = await build.raw_server(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+    )
+    turns = 0
+
+    async def work():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    pool = build.pool(build.port_of(listener))
+    answer = await pool.request("GET", "/", [], b"")
+    other = asyncio.create_task(work())
+    size, before, most = 0, 0, 0
+    async for data in answer.chunks():
+        if turns == before:
+            size += len(data)
+        else:
+            size, before = len(data), turns
+        most = max(most, size)
+    other.cancel()
+    assert most <= 512
+
+
+async def test_interim_answers_without_an_end_are_given_up():
+    """Each of them cost time of the event loop until the caller left."""
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    server = build.EndlessServer(b"", interim)
+    await server.start()
+    async with asyncio.timeout(2.0):
+        failure = await call(build.pool(server.port))
+    assert failure.reason is errors.Reason.CONNECTION_LOST
+    assert failure.outcome is errors.Outcome.UNKNOWN
+    await asyncio.sleep(0.1)
+    assert server.closed == 1
+    assert server.sent < 100 * len(interim)
+
+
+async def test_interim_answers_are_read_past():
+    """A server that works for long says so, also after a stray answer."""
+    interim = b"HTTP/1.1 102 Processing\r\n\r\n" * 60
+    listener = await build.raw_server(interim + WHOLE + interim + WHOLE)
+    pool = build.pool(build.port_of(listener))
+    first = await pool.request("GET", "/", [], b"")
+    second = await pool.skip(first, "GET", 1000)
+    assert await second.read(1000) == b"ok"
+
+
+async def test_bytes_after_a_whole_answer_end_their_connection():
+    """Extra bytes without end were held until the connection was used."""
+    server = build.EndlessServer(WHOLE, b"x" * 16_384)
+    await server.start()
+    pool = build.pool(server.port)
+    assert await call(pool) == b"ok"
+    await asyncio.sleep(1.0)
+    assert server.closed == 1
+    assert server.sent < 100_000
+    assert await call(pool) == b"ok"
+    assert pool.connects == 2
+
+
+async def test_idle_connection_that_the_server_closed_is_closed():
+    """Each one kept its socket until it was next in turn to be used."""
+    server = await build.server(idle_timeout_s=1.0)
+    pool = build.pool(server.port)
+    assert await call(pool) == b"x"
+    await asyncio.sleep(2.0)
+    assert not pool._idle
+    assert server.connections == 0
+
+
 async def test_late_stray_answer_reaches_no_later_request():
     """R3: an answer sent twice must not answer the next request."""
 
