Serve requests whose target is in absolute form

What callers saw: "GET http://host/path HTTP/1.1", which every server must accept (RFC 9112, 3.2.2), was answered 404 although the route exists.

Cause: the whole target was taken for the path, and the host only from the header.

Change: the connection splits an absolute target; its host replaces the Host header, as the RFC asks, and what follows is the path that is routed and sent to the target.

Evidence: before the change the request path answered 404 and three of the four targets of the server's test were not split. All pass now.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import logging
+import re
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -21,6 +22,8 @@
 _PIPELINED_BYTES = 65_536
 # Lets a caller read an early refusal before unread bytes reset the connection.
 _LINGER_S = 1.0
+# Absolute form of a request target, with its authority and what follows.
+_ABSOLUTE_FORM = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
 
 
 _log = logging.getLogger(__name__)
@@ -60,7 +63,8 @@
       headers: Headers in order.
       body: Whole body.
       client: `host:port` of the caller.
-      target: Path and query as received.
+      target: Path and query as received; of an absolute target, what follows
+        its host.
     """
 
     method: str
@@ -333,6 +337,13 @@
                 408, "request body took too long", errors.Reason.TIMEOUT
             ) from None
         target = event.target.decode("latin-1")
+        if absolute := _ABSOLUTE_FORM.fullmatch(target):
+            # The host of the target goes before the header (RFC 9112, 3.2.2).
+            host = absolute[1].rpartition("@")[2]
+            headers = [("host", host), *(h for h in headers if h[0] != "host")]
+            target = absolute[2]
+            if not target.startswith("/"):
+                target = "/" + target
         path, _, query = target.partition("?")
         method = event.method.decode()
         return Request(method, path, query, headers, body, self._client, target)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -199,6 +199,32 @@
     assert not received.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    ("target", "host", "path", "query"),
+    [
+        ("http://Host.example:80/a/b?c=/d", "Host.example:80", "/a/b", "c=/d"),
+        ("HTTPS://host.example", "host.example", "/", ""),
+        ("http://user@host.example?q", "host.example", "/", "q"),
+        ("/a?u=http://other/b", "h", "/a", "u=http://other/b"),
+    ],
+)
+async def test_absolute_target(target, host, path, query):
+    """A request through a proxy's form was answered as an unknown path."""
+    seen = []
+
+    async def handler(request, responder):
+        seen.append(request)
+        await responder.send(200, [], b"")
+
+    server = await build.server(handler)
+    line = f"GET {target} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    await build.exchange(server.port, line.encode())
+    [request] = seen
+    assert (request.path, request.query) == (path, query)
+    assert [v for k, v in request.headers if k == "host"] == [host]
+    assert request.target == path + ("?" + query if query else "")
+
+
 async def test_expect_continue_and_head():
     """Callers that wait for 100 must not hang; HEAD has no body."""
     server = await build.server()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -138,6 +138,17 @@
     assert 2900 <= left <= 3000
 
 
+async def test_absolute_target_finds_its_route():
+    """A proper request was denied with 404 (DENIED)."""
+    target = await Target(OK).start()
+    served = request_path(table(route()), target.entry())
+    path = "http://HOST.example:8080/a/x?q=1"
+    received = await ask(served, path, Host="other.example")
+    assert status(received) == 200
+    assert target.requests[0].startswith(b"GET /a/x?q=1 HTTP/1.1\r\n")
+    assert b"\r\nhost: host.example:8080\r\n" in target.requests[0].lower()
+
+
 async def test_without_a_configuration_nothing_is_denied():
     """An instance that has just started knows no route yet."""
     served = request_path(table(route()))
