Pass on header values and event ids beyond ASCII

What callers saw: a request with a header value such as "café", in Latin-1 or UTF-8, ended with 500. So did a request whose target answered with such a value, after it had run. A stream that broke after an event whose id is not UTF-8 was cut instead of resumed.

Cause: received values are read as Latin-1, but h11 was given text, which it encodes as ASCII; event ids were decoded as UTF-8.

Change: values are given to h11 as the bytes that were received, for targets and for callers; event ids are read as Latin-1 too.

Evidence: before the change the request path answered 500, and the decoding of the id raised in the cursor and in the request path. The three tests pass now and compare the bytes.

--- a/carobsail/eventstream.py
+++ b/carobsail/eventstream.py
@@ -56,9 +56,12 @@
         self._partial = b""
 
     def last_event(self) -> str:
-        """Returns the identifier of the last whole event, or empty."""
+        """Returns the identifier of the last whole event, or empty.
+
+        Its bytes are read as Latin-1, as those of a header are.
+        """
         start = self._last_whole.rfind(b"\n" + _ID_FIELD) + 1
         if not start and not self._last_whole.startswith(_ID_FIELD):
             return ""
         line = self._last_whole[start:].split(b"\n", 1)[0]
-        return line[len(_ID_FIELD) :].strip().decode()
+        return line[len(_ID_FIELD) :].strip().decode("latin-1")
--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -515,8 +515,10 @@
             headers = [*headers, ("content-length", str(len(body)))]
         machine = connection.machine
         try:
+            # Values are bytes beyond ASCII too, read as Latin-1 everywhere.
+            encoded = [(k, v.encode("latin-1")) for k, v in headers]
             parts = machine.send(
-                h11.Request(method=method, target=path, headers=headers)  # type: ignore[arg-type]
+                h11.Request(method=method, target=path, headers=encoded)  # type: ignore[arg-type]
             )
             assert parts is not None
             parts += machine.send(h11.Data(data=body)) or b"" if body else b""
--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -119,8 +119,9 @@
         if self._connection.settings.draining:
             headers = [h for h in headers if h[0].lower() != "connection"]
             headers.append(("connection", "close"))
+        encoded = [(k, v.encode("latin-1")) for k, v in headers]
         self._connection.send(
-            h11.Response(status_code=status, headers=headers)  # type: ignore[arg-type]
+            h11.Response(status_code=status, headers=encoded)  # type: ignore[arg-type]
         )
 
     async def write(self, data: bytes) -> None:
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -33,6 +33,13 @@
     assert cursor.overlong
 
 
+def test_identifier_of_any_bytes():
+    """An identifier that is no UTF-8 ended the request by a fault."""
+    cursor = eventstream.EventCursor()
+    cursor.feed(b"id: \xff1\ndata: x\n\n")
+    assert cursor.last_event().encode("latin-1") == b"\xff1"
+
+
 def test_done_event_without_identifier_keeps_the_position():
     """The final event has no identifier; a resume still needs one."""
     cursor = eventstream.EventCursor()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -149,6 +149,46 @@
     assert b"\r\nhost: host.example:8080\r\n" in target.requests[0].lower()
 
 
+async def test_header_bytes_beyond_ascii_are_passed_on():
+    """A proper request, or the answer to one, ended with 500."""
+    name = b"X-Name: caf\xe9 \xc3\xa9"
+    answer = OK.replace(SEAL, SEAL + name + b"\r\n")
+    target = await Target(answer).start()
+    served = request_path(table(route()), target.entry())
+    server = await httpserver.serve(
+        "127.0.0.1", 0, served.handle, httpserver.Bounds(), "callers"
+    )
+    received = await builders_io.exchange(
+        server.port,
+        b"GET /a/x HTTP/1.1\r\nHost: host.example\r\n"
+        b"Carobsail-Request-Id: q1\r\nConnection: close\r\n"
+        + name
+        + b"\r\n\r\n",
+    )
+    await server.close()
+    assert status(received) == 200
+    assert name.lower() in target.requests[0].lower()
+    assert name.lower() in received.lower()
+
+
+async def test_stream_goes_on_after_an_identifier_beyond_ascii():
+    """It was cut by a fault instead of being resumed."""
+    head = HEAD + chunk(b"id: \xc3\xa9\xff\ndata: x\n\n")
+    rest = HEAD + chunk(event(2)) + b"0\r\n\r\n"
+    first, second = (
+        await Target(head + b"CUT").start(),
+        await Target(rest).start(),
+    )
+    served = request_path(
+        table(stream_route()),
+        first.engine("e1"),
+        second.engine("e2", data_centre="dc-c"),
+    )
+    received = await generate(served)
+    assert b"last-event-id: \xc3\xa9\xff\r\n" in second.requests[0].lower()
+    assert received.endswith(chunk(event(2)) + b"0\r\n\r\n")
+
+
 async def test_without_a_configuration_nothing_is_denied():
     """An instance that has just started knows no route yet."""
     served = request_path(table(route()))
