Apply the bounds in force when a request begins

What callers saw: after a version that raises a bound on headers or bodies, the next request on a connection that was idle meanwhile was answered 431 or 413 although the new version allows it, and the connection was closed after the old idle time.

Cause: the bounds were read before the wait for the request, which lasts as long as the connection is idle; a new instance starts with bounds of its own before it knows a configuration.

Change: the bounds are read when the first bytes have come, and the wait goes on if the idle time was raised during it.

Evidence: the tests got 431, 413 and a close at 3 s instead of 6 s before the change, and pass now.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -297,16 +297,14 @@
             self.machine.receive_data(data)
 
     async def _read_request(self) -> Request | None:
-        bounds = self.settings.bounds
         event = self.machine.next_event()
         if event is h11.NEED_DATA and not self.machine.trailing_data[0]:
-            try:
-                async with asyncio.timeout(bounds.idle_timeout_s):
-                    await self._receive()
-            except TimeoutError:
+            if not await self._receive_first():
                 return None
             event = self.machine.next_event()
         self.idle = False
+        # Those in force when the request begins, not when the wait for it did.
+        bounds = self.settings.bounds
         try:
             async with asyncio.timeout(bounds.header_timeout_s):
                 while event is h11.NEED_DATA:
@@ -349,6 +347,23 @@
         method = event.method.decode()
         return Request(method, path, query, headers, body, self._client, target)
 
+    async def _receive_first(self) -> bool:
+        """Waits for a request's first bytes; tells whether any came in time.
+
+        The bound may change during the wait; a longer one holds at once.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        while True:
+            idle_s = self.settings.bounds.idle_timeout_s
+            try:
+                async with asyncio.timeout_at(since + idle_s):
+                    await self._receive()
+                return True
+            except TimeoutError:
+                if self.settings.bounds.idle_timeout_s <= idle_s:
+                    return False
+
     async def _read_body(
         self, headers: list[tuple[str, str]], limit: int
     ) -> bytes:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -5,6 +5,7 @@
 import h11
 import pytest
 
+from carobsail import httpserver
 from tests import builders_io as build
 
 GET = b"GET /a?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -52,6 +53,39 @@
     assert server.connections == 0
 
 
+@pytest.mark.parametrize(
+    "request_",
+    [
+        GET[:-2] + b"X: " + b"x" * 600 + b"\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n" + b"x" * 99,
+    ],
+    ids=["header", "body"],
+)
+async def test_raised_bounds_hold_for_the_next_request(request_):
+    """A proper request on an idle connection met the bounds of before."""
+    server = await build.server(
+        header_bytes=512, body_bytes=32, idle_timeout_s=3.0
+    )
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(idle_timeout_s=6.0)
+    await asyncio.sleep(1.0)
+    writer.write(request_)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_raised_idle_timeout_holds_at_once():
+    """A connection was closed in the time for which callers may use it."""
+    server = await build.server(idle_timeout_s=3.0)
+    task = asyncio.create_task(build.exchange(server.port, b""))
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(idle_timeout_s=6.0)
+    await task
+    now = asyncio.get_running_loop().time()
+    assert now == pytest.approx(6.0, abs=0.1)
+
+
 async def test_too_many_connections_are_refused():
     """The number of connections is bounded, and the refusal is readable."""
     server = await build.server(connections=1)
