Apply a changed header bound to open connections

What callers saw: on a connection that was open when a version raised the bound on headers, a head that arrives in pieces was answered 431 although the version allows it; the same head in one piece was served. A lowered bound did not hold for heads in pieces.

Cause: h11 fixes its bound on incomplete events when a connection begins.

Change: the connection itself bounds what is incomplete, with the bound of the request: the head, and the size lines and trailers of a chunked body.

Evidence: before the change the raised bound gave 431 and the lowered one 408 instead of 431. Both tests pass now; the test of size lines and trailers, which h11 bounded until now, passes before and after.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -9,6 +9,7 @@
 import dataclasses
 import logging
 import re
+import sys
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -182,8 +183,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.settings = settings
+        # h11's own bound would hold for the whole connection, while the
+        # server's may change; `_receive_more` applies it instead.
         self.machine = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=settings.bounds.header_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self.idle = True
         self.responder: Responder | None = None
@@ -308,7 +311,7 @@
         try:
             async with asyncio.timeout(bounds.header_timeout_s):
                 while event is h11.NEED_DATA:
-                    await self._receive()
+                    await self._receive_more(bounds)
                     event = self.machine.next_event()
         except TimeoutError:
             raise RefusalError(
@@ -316,7 +319,7 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
-        # h11 bounds only headers that arrive in parts.
+        # Headers that arrive at once are not bounded by `_receive_more`.
         size = sum(len(k) + len(v) + 4 for k, v in event.headers)
         if size + len(event.target) > bounds.header_bytes:
             raise RefusalError(
@@ -330,7 +333,7 @@
             raise RefusalError(400, "both a length and a transfer coding")
         try:
             async with asyncio.timeout(bounds.body_timeout_s):
-                body = await self._read_body(headers, bounds.body_bytes)
+                body = await self._read_body(headers, bounds)
         except TimeoutError:
             raise RefusalError(
                 408, "request body took too long", errors.Reason.TIMEOUT
@@ -365,8 +368,9 @@
                     return False
 
     async def _read_body(
-        self, headers: list[tuple[str, str]], limit: int
+        self, headers: list[tuple[str, str]], bounds: Bounds
     ) -> bytes:
+        limit = bounds.body_bytes
         refusal = RefusalError(
             413, f"body exceeds {limit} bytes", errors.Reason.BODY_TOO_LARGE
         )
@@ -380,7 +384,7 @@
         while True:
             event = self.machine.next_event()
             if event is h11.NEED_DATA:
-                await self._receive()
+                await self._receive_more(bounds)
             elif isinstance(event, h11.Data):
                 parts.append(event.data)
                 size += len(event.data)
@@ -391,6 +395,18 @@
             else:
                 raise ConnectionResetError("request ended early")
 
+    async def _receive_more(self, bounds: Bounds) -> None:
+        """Receives more of what is incomplete: a head, a size line, a trailer.
+
+        Raises:
+          RefusalError: It exceeds the bound on headers.
+        """
+        if len(self.machine.trailing_data[0]) > bounds.header_bytes:
+            raise RefusalError(
+                431, f"headers exceed {bounds.header_bytes} bytes"
+            )
+        await self._receive()
+
     async def _receive(self) -> None:
         self.machine.receive_data(await self._reader.read(_READ_BYTES))
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -75,6 +75,39 @@
     writer.close()
 
 
+async def test_raised_bound_holds_for_a_head_in_pieces():
+    """It met the bound of the time at which its connection began."""
+    server = await build.server(header_bytes=512)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(header_bytes=1024)
+    for piece in (GET[:-2] + b"X: " + b"x" * 600, b"\r\n\r\n"):
+        writer.write(piece)
+        await asyncio.sleep(0.1)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_lowered_bound_holds_for_a_head_in_pieces():
+    """A head without end must not fill memory after a change either."""
+    server = await build.server(header_bytes=1024)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(header_bytes=512)
+    writer.write(GET[:-2] + b"X: " + b"x" * 600)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 431")
+    writer.close()
+
+
+@pytest.mark.parametrize("part", [b"5;" + b"x" * 600, b"0\r\nX: " + b"x" * 600])
+async def test_size_line_and_trailer_are_bounded(part):
+    """They must not fill memory; the bound on bodies does not count them."""
+    server = await build.server(header_bytes=512)
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    received = await build.exchange(server.port, head + part)
+    assert received.startswith(b"HTTP/1.1 431")
+
+
 async def test_raised_idle_timeout_holds_at_once():
     """A connection was closed in the time for which callers may use it."""
     server = await build.server(idle_timeout_s=3.0)
