Count a head of short lines at its real length

What callers saw: a head within the bound that has many lines without a blank after the colon was answered 431.

Cause: each line was counted with four bytes beside name and value, of which the optional blank is one; 60 such lines came out some 30 bytes too long.

Change: three bytes are counted, so that the sum never exceeds the head.

Evidence: a head of exactly 512 bytes got 431 before the change, whole and in pieces, and is served now.

--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -319,8 +319,10 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
-        # Headers that arrive at once are not bounded by `_receive_more`.
-        size = sum(len(k) + len(v) + 4 for k, v in event.headers)
+        # Headers that arrive at once are not bounded by `_receive_more`. A line
+        # has a colon and a line end besides; the blank after a colon, which is
+        # optional, is not counted.
+        size = sum(len(k) + len(v) + 3 for k, v in event.headers)
         if size + len(event.target) > bounds.header_bytes:
             raise RefusalError(
                 431, f"headers exceed {bounds.header_bytes} bytes"
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -108,6 +108,22 @@
     assert received.startswith(b"HTTP/1.1 431")
 
 
+@pytest.mark.parametrize("cuts", [[], [400, 511]])
+async def test_head_of_the_largest_size(cuts):
+    """Many short lines without blanks were counted as longer than they are."""
+    lines = b"".join(b"x%d:v\r\n" % number for number in range(60))
+    head = GET[:-2] + lines
+    head += b"y:" + b"v" * (512 - len(head) - 6) + b"\r\n\r\n"
+    assert len(head) == 512
+    server = await build.server(header_bytes=512)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    for start, end in zip([0, *cuts], [*cuts, 512], strict=True):
+        writer.write(head[start:end])
+        await asyncio.sleep(0.1)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
 async def test_raised_idle_timeout_holds_at_once():
     """A connection was closed in the time for which callers may use it."""
     server = await build.server(idle_timeout_s=3.0)
