Bound the unpacked copy of another instance

What would be seen: some kilobytes from whatever has taken over the address of another instance could unpack to gigabytes in one step, which fills memory and holds the event loop.

Cause: the body of a copy was bounded, at 64 MiB, but not what it unpacks to.

Change: 16 MiB bound both; a copy that is cut is told as a failure as before, and the next instance or the store is asked.

Evidence: a copy above the bound was accepted before the change. Beside it land tests of answers without end from another instance and from the store (status line, headers, interim answers, body, chunks); those passed before, as every call has a bound in time and bytes.

--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -18,7 +18,9 @@
 FIRST_ASK_S = 0.4
 ASK_AGAIN_S = 0.5
 _CALL_TIMEOUT_S = 1.0
-_SNAPSHOT_BYTES = 67_108_864
+# Bound of a copy, packed and unpacked, as of one answer of the store; the
+# configuration of a large deployment takes 130 KB.
+_SNAPSHOT_BYTES = 16_777_216
 # A configuration shrinks to a fifth in about 3 ms.
 _COMPRESSION = 1
 
@@ -51,7 +53,11 @@
 def decode(data: bytes) -> keyvalue.RangeResult | errors.Failure:
     """Returns the revision and values of a snapshot."""
     try:
-        found = msgspec.msgpack.decode(zlib.decompress(data), type=_Snapshot)
+        unpacker = zlib.decompressobj()
+        plain = unpacker.decompress(data, _SNAPSHOT_BYTES)
+        if not unpacker.eof:
+            raise zlib.error("incomplete or too long")
+        found = msgspec.msgpack.decode(plain, type=_Snapshot)
     except (msgspec.DecodeError, zlib.error) as error:
         return errors.Failure(
             errors.Reason.INVALID,
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -48,6 +48,35 @@
     assert isinstance(peersnapshot.decode(b"\x01"), errors.Failure)
 
 
+def test_snapshot_that_unpacks_without_an_end_is_a_failure(monkeypatch):
+    """Some bytes of something else must not fill memory when unpacked."""
+    monkeypatch.setattr(peersnapshot, "_SNAPSHOT_BYTES", 100_000)
+    known = [keyvalue.KeyValue("op/config", b"x" * 90_000, 7)]
+    data = peersnapshot.encode(7, known)
+    assert peersnapshot.decode(data).values == tuple(known)
+    assert isinstance(peersnapshot.decode(data[:-1]), errors.Failure)
+    known = [keyvalue.KeyValue("op/config", b"x" * 110_000, 7)]
+    long = peersnapshot.decode(peersnapshot.encode(7, known))
+    assert isinstance(long, errors.Failure)
+
+
+async def test_snapshot_without_an_end_is_a_failure():
+    """An instance that adopts from such a peer must ask the next one."""
+    for first, piece in (
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 16_384),
+        (b"", b"HTTP/1.1 200 OK"),
+        (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+    ):
+        server = builders_io.EndlessServer(first, piece)
+        await server.start()
+        peers = peersnapshot.SnapshotPeers()
+        async with asyncio.timeout(1.5):
+            found = await peers.read_all(f"127.0.0.1:{server.port}")
+        assert isinstance(found, errors.Failure)
+        await asyncio.sleep(0.1)
+        assert server.closed == 1
+
+
 async def test_value_and_copy_of_another_instance():
     """A long value is read inside the data centre."""
     known = [keyvalue.KeyValue("op/config", b"x" * 9000, 7)]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,8 @@
 """Guards the client of the platform's store, against a stand-in."""
 
+import asyncio
+
+import builders_io
 import pytest
 
 from carobsail import errors
@@ -92,6 +95,34 @@
         assert result.outcome is errors.Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (b"", b"HTTP/1.1 200 OK"),
+        (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n",
+        ),
+    ],
+    ids=["status", "headers", "interim", "body", "chunks"],
+)
+async def test_answer_without_an_end_may_have_run(first, piece):
+    """It must neither fill memory nor hold the follower of the store."""
+    server = builders_io.EndlessServer(first, piece)
+    await server.start()
+    client = PlatformStore(f"127.0.0.1:{server.port}")
+    async with asyncio.timeout(6.0):
+        result = await put(client, "k")
+    assert result.outcome is errors.Outcome.UNKNOWN
+    await asyncio.sleep(0.1)
+    assert server.requests == server.closed == 1
+    assert server.sent < 17_000_000
+    client.close()
+
+
 async def test_call_without_an_answer_may_have_run(store):
     """An outcome that is not known must not be called a refusal."""
     standin, client = store
