Bound the head of an answer that arrives whole

What callers saw: a target whose answer has a head of very many short lines held up the whole instance while it was read: 15,000 lines stopped the event loop for 90 to 260 ms on a busy machine.

Cause: h11's bound holds for heads that are incomplete only, and 64 KiB may have 16,000 lines.

Change: a head above 32 KiB, the default for requests too, ends the answer as lost, whole or in pieces.

Evidence: a head of 60,000 bytes was accepted before the change, in one piece and in three; the tests pass now, and a head of exactly 32 KiB is served before and after.

--- a/carobsail/answerbody.py
+++ b/carobsail/answerbody.py
@@ -11,6 +11,9 @@
 
 import h11
 
+# Largest head of an answer, as of a request by default. h11 reads it in one go;
+# 64 KiB of short lines held the event loop for 0.1 s.
+HEAD_BYTES = 32_768
 # A longer chunk is passed on as it comes in.
 _MAX_CHUNK_BYTES = 65_536
 # Chunks that are taken at once. h11 needs up to 60 us for each; reads of 64 KiB
@@ -64,8 +67,12 @@
             # h11 is given one head at a time, so that the bytes after it are
             # still here when the body starts.
             end = self._rest.find(b"\r\n\r\n") + 4
+            # h11 bounds only heads that are incomplete.
+            room = HEAD_BYTES - len(self.machine.trailing_data[0])
             if end < 4:
-                end = len(self._rest)
+                end = min(len(self._rest), room)
+            if not 0 < end <= room:
+                raise h11.RemoteProtocolError("the head is too long")
             self.machine.receive_data(self._rest[:end])
             self._rest = self._rest[end:]
             event = self.machine.next_event()
--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -17,7 +17,6 @@
 from carobsail import answerbody, errors
 
 _READ_BYTES = 65_536
-_HEAD_BYTES = 65_536
 # Interim answers (1xx) before an answer. A server that works for minutes may
 # send one every few seconds; h11 takes some 50 us for each.
 _MAX_INTERIM = 64
@@ -97,7 +96,7 @@
         self.reader = reader
         self.writer = writer
         self.machine = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answerbody.HEAD_BYTES
         )
         self.body = answerbody.AnswerBody(self.machine)
         self.consumed = 0
@@ -151,7 +150,7 @@
         """
         rest = self.body.rest()
         self.machine = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answerbody.HEAD_BYTES
         )
         # h11 takes an answer only after a request; this one was sent already.
         self.machine.send(
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -176,6 +176,45 @@
     assert most <= 512
 
 
+@pytest.mark.parametrize("pieces", [1, 3])
+@pytest.mark.parametrize(("size", "fits"), [(32_768, True), (60_000, False)])
+async def test_long_head_is_bounded(pieces, size, fits):
+    """A head of very many lines held the event loop while it was read."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    head += b"a:\r\n" * ((size - len(head) - 10) // 4)
+    head += b"b:" + b"x" * (size - len(head) - 6) + b"\r\n\r\n"
+    assert len(head) == size
+
+    async def accept(reader, writer):
+        await reader.read(65_536)
+        step = -(-size // pieces)
+        for start in range(0, size, step):
+            writer.write(head[start : start + step])
+            await asyncio.sleep(0.01)
+        writer.write(b"ok")
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    result = await call(build.pool(build.port_of(listener)))
+    if fits:
+        assert result == b"ok"
+    else:
+        assert result.reason is errors.Reason.CONNECTION_LOST
+        assert result.outcome is errors.Outcome.UNKNOWN
+
+
+async def test_head_with_bare_line_ends_before_a_long_body():
+    """The body must not count as a part of the head."""
+    body = b"x" * 60_000
+    head = b"HTTP/1.1 200 OK\nContent-Length: 60000\n\n"
+    listener = await build.raw_server(head + body)
+    answer = await build.pool(build.port_of(listener)).request(
+        "GET", "/", [], b""
+    )
+    assert await answer.read(60_000) == body
+
+
 async def test_interim_answers_without_an_end_are_given_up():
     """Each of them cost time of the event loop until the caller left."""
     interim = b"HTTP/1.1 100 Continue\r\n\r\n"
