--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -17,7 +17,6 @@
 from carobsail import answerbody, errors
 
 _READ_BYTES = 65_536
-_HEAD_BYTES = 65_536
 # Interim answers (1xx) before an answer. A server that works for minutes may
 # send one every few seconds; h11 takes some 50 us for each.
 _MAX_INTERIM = 64
@@ -97,7 +96,7 @@
         self.reader = reader
         self.writer = writer
         self.machine = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answerbody.HEAD_BYTES
         )
         self.body = answerbody.AnswerBody(self.machine)
         self.consumed = 0
@@ -151,7 +150,7 @@
         """
         rest = self.body.rest()
         self.machine = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answerbody.HEAD_BYTES
         )
         # h11 takes an answer only after a request; this one was sent already.
         self.machine.send(
@@ -527,8 +526,10 @@
             headers = [*headers, ("content-length", str(len(body)))]
         machine = connection.machine
         try:
+            # Values are bytes beyond ASCII too, read as Latin-1 everywhere.
+            encoded = [(k, v.encode("latin-1")) for k, v in headers]
             parts = machine.send(
-                h11.Request(method=method, target=path, headers=headers)  # type: ignore[arg-type]
+                h11.Request(method=method, target=path, headers=encoded)  # type: ignore[arg-type]
             )
             assert parts is not None
             parts += machine.send(h11.Data(data=body)) or b"" if body else b""
--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -8,6 +8,8 @@
 import asyncio
 import dataclasses
 import logging
+import re
+import sys
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -21,6 +23,8 @@
 _PIPELINED_BYTES = 65_536
 # Lets a caller read an early refusal before unread bytes reset the connection.
 _LINGER_S = 1.0
+# Absolute form of a request target, with its authority and what follows.
+_ABSOLUTE_FORM = re.compile(r"https?://([^/?#]+)(.*)", re.IGNORECASE)
 
 
 _log = logging.getLogger(__name__)
@@ -60,7 +64,8 @@
       headers: Headers in order.
       body: Whole body.
       client: `host:port` of the caller.
-      target: Path and query as received.
+      target: Path and query as received; of an absolute target, what follows
+        its host.
     """
 
     method: str
@@ -115,8 +120,9 @@
         if self._connection.settings.draining:
             headers = [h for h in headers if h[0].lower() != "connection"]
             headers.append(("connection", "close"))
+        encoded = [(k, v.encode("latin-1")) for k, v in headers]
         self._connection.send(
-            h11.Response(status_code=status, headers=headers)  # type: ignore[arg-type]
+            h11.Response(status_code=status, headers=encoded)  # type: ignore[arg-type]
         )
 
     async def write(self, data: bytes) -> None:
@@ -177,8 +183,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.settings = settings
+        # h11's own bound would hold for the whole connection, while the
+        # server's may change; `_receive_more` applies it instead.
         self.machine = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=settings.bounds.header_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self.idle = True
         self.responder: Responder | None = None
@@ -294,21 +302,19 @@
             self.machine.receive_data(data)
 
     async def _read_request(self) -> Request | None:
-        bounds = self.settings.bounds
         self._target = ""
         event = self.machine.next_event()
         if event is h11.NEED_DATA and not self.machine.trailing_data[0]:
-            try:
-                async with asyncio.timeout(bounds.idle_timeout_s):
-                    await self._receive()
-            except TimeoutError:
+            if not await self._receive_first():
                 return None
             event = self.machine.next_event()
         self.idle = False
+        # Those in force when the request begins, not when the wait for it did.
+        bounds = self.settings.bounds
         try:
             async with asyncio.timeout(bounds.header_timeout_s):
                 while event is h11.NEED_DATA:
-                    await self._receive()
+                    await self._receive_more(bounds)
                     event = self.machine.next_event()
         except TimeoutError:
             raise RefusalError(
@@ -317,8 +323,10 @@
         if not isinstance(event, h11.Request):
             return None
         target = self._target = event.target.decode("latin-1")
-        # h11 bounds only headers that arrive in parts.
-        size = sum(len(k) + len(v) + 4 for k, v in event.headers)
+        # Headers that arrive at once are not bounded by `_receive_more`. A line
+        # has a colon and a line end besides; the blank after a colon, which is
+        # optional, is not counted.
+        size = sum(len(k) + len(v) + 3 for k, v in event.headers)
         if size + len(event.target) > bounds.header_bytes:
             raise RefusalError(
                 431, f"headers exceed {bounds.header_bytes} bytes"
@@ -331,18 +339,43 @@
             raise RefusalError(400, "both a length and a transfer coding")
         try:
             async with asyncio.timeout(bounds.body_timeout_s):
-                body = await self._read_body(headers, bounds.body_bytes)
+                body = await self._read_body(headers, bounds)
         except TimeoutError:
             raise RefusalError(
                 408, "request body took too long", errors.Reason.TIMEOUT
             ) from None
+        if absolute := _ABSOLUTE_FORM.fullmatch(target):
+            # The host of the target goes before the header (RFC 9112, 3.2.2).
+            host = absolute[1].rpartition("@")[2]
+            headers = [("host", host), *(h for h in headers if h[0] != "host")]
+            target = absolute[2]
+            if not target.startswith("/"):
+                target = "/" + target
         path, _, query = target.partition("?")
         method = event.method.decode()
         return Request(method, path, query, headers, body, self._client, target)
 
+    async def _receive_first(self) -> bool:
+        """Waits for a request's first bytes; tells whether any came in time.
+
+        The bound may change during the wait; a longer one holds at once.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        while True:
+            idle_s = self.settings.bounds.idle_timeout_s
+            try:
+                async with asyncio.timeout_at(since + idle_s):
+                    await self._receive()
+                return True
+            except TimeoutError:
+                if self.settings.bounds.idle_timeout_s <= idle_s:
+                    return False
+
     async def _read_body(
-        self, headers: list[tuple[str, str]], limit: int
+        self, headers: list[tuple[str, str]], bounds: Bounds
     ) -> bytes:
+        limit = bounds.body_bytes
         refusal = RefusalError(
             413, f"body exceeds {limit} bytes", errors.Reason.BODY_TOO_LARGE
         )
@@ -356,7 +389,7 @@
         while True:
             event = self.machine.next_event()
             if event is h11.NEED_DATA:
-                await self._receive()
+                await self._receive_more(bounds)
             elif isinstance(event, h11.Data):
                 parts.append(event.data)
                 size += len(event.data)
@@ -367,6 +400,18 @@
             else:
                 raise ConnectionResetError("request ended early")
 
+    async def _receive_more(self, bounds: Bounds) -> None:
+        """Receives more of what is incomplete: a head, a size line, a trailer.
+
+        Raises:
+          RefusalError: It exceeds the bound on headers.
+        """
+        if len(self.machine.trailing_data[0]) > bounds.header_bytes:
+            raise RefusalError(
+                431, f"headers exceed {bounds.header_bytes} bytes"
+            )
+        await self._receive()
+
     async def _receive(self) -> None:
         self.machine.receive_data(await self._reader.read(_READ_BYTES))
 
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -32,7 +32,12 @@
 # Silence within a body after which the other instance is given up. A value of
 # 80 KB takes longer than that over a link that ten instances share.
 _SILENCE_S = 1.0
-_SNAPSHOT_BYTES = 67_108_864
+# Bound of a whole answer. The copy that ten instances read over a link of
+# 5 Mbit/s takes 2 s; later than this it would be out of date.
+BODY_TIMEOUT_S = 4.0
+# Bound of a copy, packed and unpacked, as of one answer of the store; the
+# configuration of a large deployment takes 130 KB.
+_SNAPSHOT_BYTES = 16_777_216
 # A configuration shrinks to a fifth in about 3 ms.
 _COMPRESSION = 1
 # An instance holds another one's call at most for this long.
@@ -75,7 +80,11 @@
 def decode(data: bytes) -> storecopy.CopyChanges | errors.Failure:
     """Returns a part of a copy."""
     try:
-        found = msgspec.msgpack.decode(zlib.decompress(data), type=_Changes)
+        unpacker = zlib.decompressobj()
+        plain = unpacker.decompress(data, _SNAPSHOT_BYTES)
+        if not unpacker.eof:
+            raise zlib.error("incomplete or too long")
+        found = msgspec.msgpack.decode(plain, type=_Changes)
     except (msgspec.DecodeError, zlib.error) as error:
         return errors.Failure(
             errors.Reason.INVALID,
@@ -188,7 +197,8 @@
             found = await pool.request("GET", path, [], b"")
         if isinstance(found, errors.Failure):
             return found
-        body = await found.read(_SNAPSHOT_BYTES, _SILENCE_S)
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            body = await found.read(_SNAPSHOT_BYTES, _SILENCE_S)
     except TimeoutError:
         return pool.failure(errors.Reason.TIMEOUT, "no answer")
     finally:
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -26,6 +26,9 @@
 # takes 550 KB, and instances that start together share the link between
 # regions: an answer that is given up begins again and adds to the load.
 SILENCE_S = 2.0
+# Bound of a whole answer: 44 instances that start together and share 30 Mbit/s
+# take 7 s for 600 KB each. Bytes that come without end are no answer.
+BODY_TIMEOUT_S = 12.0
 # Bounds how long a silent connection hides changes: a target that leaves has
 # to be known within the drain bound of 2.5 s.
 WATCH_WAIT_S = 2.0
@@ -172,7 +175,8 @@
                     return self._failure(
                         answer.reason, answer.outcome, answer.detail
                     )
-            content = await answer.read(_ANSWER_BYTES, SILENCE_S)
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                content = await answer.read(_ANSWER_BYTES, SILENCE_S)
         except TimeoutError:
             return self._failure(errors.Reason.TIMEOUT, errors.Outcome.UNKNOWN)
         if isinstance(content, errors.Failure):
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -5,6 +5,7 @@
 import h11
 import pytest
 
+from carobsail import httpserver
 from tests import builders_io as build
 
 GET = b"GET /a?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -52,6 +53,88 @@
     assert server.connections == 0
 
 
+@pytest.mark.parametrize(
+    "request_",
+    [
+        GET[:-2] + b"X: " + b"x" * 600 + b"\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n" + b"x" * 99,
+    ],
+    ids=["header", "body"],
+)
+async def test_raised_bounds_hold_for_the_next_request(request_):
+    """A proper request on an idle connection met the bounds of before."""
+    server = await build.server(
+        header_bytes=512, body_bytes=32, idle_timeout_s=3.0
+    )
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(idle_timeout_s=6.0)
+    await asyncio.sleep(1.0)
+    writer.write(request_)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_raised_bound_holds_for_a_head_in_pieces():
+    """It met the bound of the time at which its connection began."""
+    server = await build.server(header_bytes=512)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(header_bytes=1024)
+    for piece in (GET[:-2] + b"X: " + b"x" * 600, b"\r\n\r\n"):
+        writer.write(piece)
+        await asyncio.sleep(0.1)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_lowered_bound_holds_for_a_head_in_pieces():
+    """A head without end must not fill memory after a change either."""
+    server = await build.server(header_bytes=1024)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(header_bytes=512)
+    writer.write(GET[:-2] + b"X: " + b"x" * 600)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 431")
+    writer.close()
+
+
+@pytest.mark.parametrize("part", [b"5;" + b"x" * 600, b"0\r\nX: " + b"x" * 600])
+async def test_size_line_and_trailer_are_bounded(part):
+    """They must not fill memory; the bound on bodies does not count them."""
+    server = await build.server(header_bytes=512)
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    received = await build.exchange(server.port, head + part)
+    assert received.startswith(b"HTTP/1.1 431")
+
+
+@pytest.mark.parametrize("cuts", [[], [400, 511]])
+async def test_head_of_the_largest_size(cuts):
+    """Many short lines without blanks were counted as longer than they are."""
+    lines = b"".join(b"x%d:v\r\n" % number for number in range(60))
+    head = GET[:-2] + lines
+    head += b"y:" + b"v" * (512 - len(head) - 6) + b"\r\n\r\n"
+    assert len(head) == 512
+    server = await build.server(header_bytes=512)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    for start, end in zip([0, *cuts], [*cuts, 512], strict=True):
+        writer.write(head[start:end])
+        await asyncio.sleep(0.1)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_raised_idle_timeout_holds_at_once():
+    """A connection was closed in the time for which callers may use it."""
+    server = await build.server(idle_timeout_s=3.0)
+    task = asyncio.create_task(build.exchange(server.port, b""))
+    await asyncio.sleep(1.0)
+    server.bounds = httpserver.Bounds(idle_timeout_s=6.0)
+    await task
+    now = asyncio.get_running_loop().time()
+    assert now == pytest.approx(6.0, abs=0.1)
+
+
 async def test_too_many_connections_are_refused():
     """The number of connections is bounded, and the refusal is readable."""
     server = await build.server(connections=1)
@@ -199,6 +282,32 @@
     assert not received.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    ("target", "host", "path", "query"),
+    [
+        ("http://Host.example:80/a/b?c=/d", "Host.example:80", "/a/b", "c=/d"),
+        ("HTTPS://host.example", "host.example", "/", ""),
+        ("http://user@host.example?q", "host.example", "/", "q"),
+        ("/a?u=http://other/b", "h", "/a", "u=http://other/b"),
+    ],
+)
+async def test_absolute_target(target, host, path, query):
+    """A request through a proxy's form was answered as an unknown path."""
+    seen = []
+
+    async def handler(request, responder):
+        seen.append(request)
+        await responder.send(200, [], b"")
+
+    server = await build.server(handler)
+    line = f"GET {target} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    await build.exchange(server.port, line.encode())
+    [request] = seen
+    assert (request.path, request.query) == (path, query)
+    assert [v for k, v in request.headers if k == "host"] == [host]
+    assert request.target == path + ("?" + query if query else "")
+
+
 async def test_expect_continue_and_head():
     """Callers that wait for 100 must not hang; HEAD has no body."""
     server = await build.server()
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -7,7 +7,7 @@
 import builders_io
 import pytest
 
-from carobsail import errors, keyvalue, operatorport, peersnapshot
+from carobsail import errors, keyvalue, operatorport, peersnapshot, storecopy
 from carobsail.storemirror import StoreMirror
 
 pytestmark = pytest.mark.memory_network
@@ -62,6 +62,40 @@
     assert isinstance(peersnapshot.decode(b"\x01"), errors.Failure)
 
 
+def copy_of(size):
+    """Returns a copy with one value of a size."""
+    known = (keyvalue.KeyValue("op/config", b"x" * size, 7),)
+    return storecopy.CopyChanges(7, 0.0, True, known)
+
+
+def test_snapshot_that_unpacks_without_an_end_is_a_failure(monkeypatch):
+    """Some bytes of something else must not fill memory when unpacked."""
+    monkeypatch.setattr(peersnapshot, "_SNAPSHOT_BYTES", 100_000)
+    data = peersnapshot.encode(copy_of(90_000))
+    assert peersnapshot.decode(data) == copy_of(90_000)
+    assert isinstance(peersnapshot.decode(data[:-1]), errors.Failure)
+    long = peersnapshot.decode(peersnapshot.encode(copy_of(110_000)))
+    assert isinstance(long, errors.Failure)
+
+
+async def test_snapshot_without_an_end_is_a_failure():
+    """An instance that adopts from such a peer must ask the next one."""
+    for first, piece in (
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 16_384),
+        (b"", b"HTTP/1.1 200 OK"),
+        (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+    ):
+        server = builders_io.EndlessServer(first, piece)
+        await server.start()
+        peers = peersnapshot.SnapshotPeers()
+        address = f"127.0.0.1:{server.port}"
+        async with asyncio.timeout(peersnapshot.BODY_TIMEOUT_S + 0.5):
+            found = await peers.read_changes(address, 0, 0.0)
+        assert isinstance(found, errors.Failure)
+        await asyncio.sleep(0.1)
+        assert server.closed == 1
+
+
 async def test_value_and_changes_of_another_instance():
     """A long value is read inside the data centre."""
     mirror = mirror_of()
