Let the soak judge each 3xx and 4xx by the versions in force

Cause: proper requests were ended with a 404 of our own though every configuration allowed them, and no check of the soak asked for it: the operator only moved one route between services.

Callers also ask for unknown hosts, unknown paths and removed routes, in several proper forms, and for safe routes at instances that are not ready. Four new checks: denied, route, untold, regress. The route by which the check `config` tells versions apart has 16 services, not 4, so that versions in quick succession stay distinct; that check reads the time of sending since a version may take effect before its acknowledgement.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,7 +64,8 @@
     found = ", ".join(f"{n} x {s or 'cut'}" for s, n in statuses.most_common())
     return (
         f"{len(record.asked)} requests ({found}), {runs} runs, "
-        f"{len(record.orders)} orders, {len(record.configured)} configurations"
+        f"{len(record.orders)} orders, {len(record.versions)} configurations; "
+        f"{checks.judge(record)}"
     )
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,9 +5,8 @@
 
 import h11
 
-from soak.records import Asked, Kind, Record
+from soak.records import HOST, PATIENCE_S, Asked, Kind, Record
 
-HOST = "soak.example"
 _READ_BYTES = 65_536
 _CONNECT_S = 1.0
 _ANSWER_SLACK_S = 0.6
@@ -17,19 +16,28 @@
     Kind.UNSAFE: 3,
     Kind.STREAM: 6,
     Kind.CONFIG: 2,
-}
-# The routes' time-outs as well.
-PATIENCE_S = {
-    Kind.SAFE: 3.0,
-    Kind.UNSAFE: 3.0,
-    Kind.STREAM: 6.0,
-    Kind.CONFIG: 3.0,
+    Kind.ADDED: 4,
 }
 # Part of the callers that leave early, and of those that use a connection
 # which was used before.
 _LEAVE_SHARE = 0.06
 _REUSE_SHARE = 0.7
 _ADAPTER_SHARE = 0.3
+# Part of the safe requests that go to any instance, ready or not: one that has
+# just started knows no configuration yet.
+_PROBE_SHARE = 0.15
+# Part of the requests of `Kind.ADDED` that no version ever allowed, and of the
+# others those on a route of one of the newest versions but the newest.
+_NEVER_SHARE = 0.25
+_OLDER_SHARE = 0.5
+_OLDER_VERSIONS = 4
+# Hosts and paths that no version has; the last path lacks a prefix's slash.
+_NEVER = (("never.example", "/safe/"), (HOST, "/never/"), (HOST, "/safe"))
+# Part of the requests that have a query, a body, a body in chunks, a port after
+# the host, or a host in capitals, and of the safe ones that have no body at
+# all. All are proper.
+_FORM_SHARE = 0.15
+_BODY_BYTES = 3000
 
 
 class _Connection:
@@ -48,13 +56,16 @@
 
     Attributes:
       models: Models that are asked for, most wanted first.
-      ready: Ports of the links to ready instances, by name.
+      ready: Ports of the links to ready instances and the starts of their
+        processes, by name.
+      every: The same of all instances.
     """
 
     def __init__(self, record: Record, rng: random.Random) -> None:
         """Creates callers that know no instance."""
         self.models: list[str] = []
         self.ready: dict[str, tuple[int, int]] = {}
+        self.every: dict[str, tuple[int, int]] = {}
         self._record = record
         self._rng = rng
         self._idle: dict[tuple[str, int], list[_Connection]] = {}
@@ -72,6 +83,12 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
+    def find(self, instance: str, port: int, incarnation: int) -> None:
+        """Notes a new process of an instance."""
+        self.every[instance] = port, incarnation
+        if instance in self.ready:
+            self.ready[instance] = port, incarnation
+
     def forget(self, instance: str) -> None:
         """Takes an instance out; its open connections stay in use."""
         self.ready.pop(instance, None)
@@ -81,17 +98,26 @@
         loop = asyncio.get_running_loop()
         kinds = list(_WEIGHTS)
         kind = self._rng.choices(kinds, [_WEIGHTS[k] for k in kinds])[0]
-        instance = self._rng.choice(sorted(self.ready))
-        port, incarnation = self.ready[instance]
+        probe = kind in (Kind.SAFE, Kind.ADDED) and (
+            self._rng.random() < _PROBE_SHARE
+        )
+        places = self.every if probe else self.ready
+        instance = self._rng.choice(sorted(places))
+        port, incarnation = places[instance]
         self._count += 1
+        request = f"q{self._count:06d}{self._rng.getrandbits(24):06x}"
+        host, prefix = HOST, f"/{kind}/"
+        if kind is Kind.ADDED:
+            host, prefix = self._draw_route()
         asked = Asked(
-            f"q{self._count:06d}{self._rng.getrandbits(24):06x}",
+            request,
             kind,
             instance,
             incarnation,
             loop.time(),
             PATIENCE_S[kind],
-            acked_version=max(self._record.configured, default=0),
+            host=host,
+            path=prefix + request if prefix.endswith("/") else prefix,
         )
         self._record.asked[asked.request] = asked
         # A request has a final answer a little after its time at the latest.
@@ -111,6 +137,19 @@
         if connection is not None:
             self._keep(connection, asked, port)
 
+    def _draw_route(self) -> tuple[str, str]:
+        """Draws a route that was added or removed lately, or never existed."""
+        rng = self._rng
+        versions = self._record.versions
+        version = versions[-1]
+        if rng.random() < _OLDER_SHARE:
+            version = rng.choice(versions[-_OLDER_VERSIONS:])
+        standing = versions[0].routes
+        added = [key for key in version.routes if key not in standing]
+        if not added or rng.random() < _NEVER_SHARE:
+            return rng.choice(_NEVER)
+        return rng.choice(added)
+
     async def _connect(
         self, instance: str, port: int, kind: Kind
     ) -> _Connection:
@@ -137,23 +176,8 @@
             connection.writer.transport.abort()
 
     async def _exchange(self, connection: _Connection, asked: Asked) -> None:
-        headers = [
-            ("host", HOST),
-            ("carobsail-request-id", asked.request),
-            ("carobsail-deadline-ms", str(int(asked.patience_s * 1000))),
-            ("content-length", "0"),
-        ]
-        if asked.kind is Kind.STREAM:
-            headers += self._generation()
-        request = h11.Request(
-            method="POST",
-            target=f"/{asked.kind}/{asked.request}",
-            headers=headers,  # type: ignore[arg-type]
-        )
+        connection.writer.write(self._form(connection.machine, asked))
         machine = connection.machine
-        data = machine.send(request) or b""
-        data += machine.send(h11.EndOfMessage()) or b""
-        connection.writer.write(data)
         while True:
             event = machine.next_event()
             if event is h11.NEED_DATA:
@@ -170,6 +194,35 @@
             else:
                 return
 
+    def _form(self, machine: h11.Connection, asked: Asked) -> bytes:
+        """Returns the bytes of a request in one of its proper forms."""
+        query, body, chunked, port, capitals, bare = (
+            self._rng.random() < _FORM_SHARE for _ in range(6)
+        )
+        host = asked.host.title() if capitals else asked.host
+        headers = [
+            ("host", f"{host}:80" if port else host),
+            ("carobsail-request-id", asked.request),
+            ("carobsail-deadline-ms", str(int(asked.patience_s * 1000))),
+        ]
+        safe = asked.kind not in (Kind.UNSAFE, Kind.STREAM)
+        content = bytes(_BODY_BYTES) if body or chunked else b""
+        if chunked:
+            headers.append(("transfer-encoding", "chunked"))
+        elif content or not (bare and safe):
+            headers.append(("content-length", str(len(content))))
+        if asked.kind is Kind.STREAM:
+            headers += self._generation()
+        request = h11.Request(
+            method="GET" if bare and safe else "POST",
+            target=asked.path + ("?of=soak" if query else ""),
+            headers=headers,  # type: ignore[arg-type]
+        )
+        data = machine.send(request) or b""
+        if content:
+            data += machine.send(h11.Data(data=content)) or b""
+        return data + (machine.send(h11.EndOfMessage()) or b"")
+
     def _generation(self) -> list[tuple[str, str]]:
         # Few models get most of the requests.
         rank = min(len(self.models) - 1, int(self._rng.expovariate(0.7)))
@@ -180,5 +233,8 @@
         return [
             ("carobsail-model", model),
             ("carobsail-token-count", f"{prompt},60"),
-            ("carobsail-prompt-prefix", f"p{self._rng.randint(1, 5)}:{prompt}"),
+            (
+                "carobsail-prompt-prefix",
+                f"{self._rng.randint(1, 5):x}:{prompt}",
+            ),
         ]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,7 +7,17 @@
 import dataclasses
 from collections.abc import Callable, Iterator
 
-from soak.records import Asked, Kind, Record, Run, body_of, event_of, events_of
+from soak.records import (
+    CONFIG_SERVICES,
+    Asked,
+    Kind,
+    Record,
+    Run,
+    Version,
+    body_of,
+    event_of,
+    events_of,
+)
 
 # Bounds of the smallest site in seconds.
 DRAIN_S = 2.5
@@ -15,6 +25,7 @@
 LEASE_S = 3.0
 THAW_S = 0.3
 ROLLBACK_S = 0.25
+APPLY_S = 2.5
 GONE_S = 0.5
 MOVE_S = 0.4
 TIMEOUT_SLACK_S = 0.5
@@ -27,10 +38,13 @@
 # Eight or more, and over a quarter, of those whose time-out is reached.
 ANSWERED_FEW = 7
 ANSWERED_SHARE = 0.25
+# Of the requests that no version allows, those without a 404.
+UNTOLD_FEW = 3
+UNTOLD_SHARE = 0.25
+# Statuses of 3xx and 4xx that are not final.
+PASSING = frozenset({408, 421, 429})
 # Statuses that say that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
-# Services of the route whose versions the checks tell apart, in turn.
-CONFIG_SERVICES = 4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -160,7 +174,7 @@
     ]
     for run, asked in sorted(probes, key=lambda p: p[0].started_at):
         newest = max(
-            (v for v, at in record.configured.items() if at <= run.started_at),
+            (v.number for v in record.versions if v.sent_at <= run.started_at),
             default=0,
         )
         # The newest version so far that leads to this service.
@@ -175,6 +189,173 @@
             seen[key] = (version, run.started_at)
 
 
+def in_force(record: Record, asked: Asked, until: float) -> list[Version]:
+    """Returns the versions that may be in force while a request is under way.
+
+    For an instance in touch they start with the newest version that was
+    acknowledged longer than the apply bound before the request was sent; other
+    instances may still have any older one.
+
+    Args:
+      record: What was seen.
+      asked: The request.
+      until: When it was handled at the latest; later versions do not count.
+    """
+    oldest = 0
+    names = {asked.instance, "store"}
+    if record.calm(names, asked.sent_at - CONTACT_S, until):
+        due_at = asked.sent_at - APPLY_S
+        oldest = max(
+            (v.number for v in record.versions if v.acked_at <= due_at),
+            default=0,
+        )
+    return [
+        v for v in record.versions if v.number >= oldest and v.sent_at <= until
+    ]
+
+
+def _describe(asked: Asked, versions: list[Version]) -> str:
+    return (
+        f"{asked.host}{asked.path} at {asked.instance} sent "
+        f"{asked.sent_at:.2f} s in versions {versions[0].number} to "
+        f"{versions[-1].number}"
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What became of final statuses of 3xx or 4xx that are carobsail's own.
+
+    Attributes:
+      right: Number of 404 that every version in force asks for.
+      changing: Number of 404 that only some versions in force ask for.
+      wrong: Requests that had to be served, with what they got.
+    """
+
+    right: int = 0
+    changing: int = 0
+    wrong: list[Violation] = dataclasses.field(default_factory=list)
+
+    def __str__(self) -> str:
+        return (
+            f"own 4xx: {self.right} right, {self.changing} during a change, "
+            f"{len(self.wrong)} wrong"
+        )
+
+
+def judge(record: Record) -> Verdict:
+    """Judges each final status of 3xx or 4xx that bears no signature.
+
+    All callers are proper, so 404 is the only one that may be right.
+    """
+    verdict = Verdict()
+    for asked, _ in _ask_and_runs(record):
+        own = 300 <= asked.status < 500 and not asked.seal
+        if not own or asked.status in PASSING:
+            continue
+        versions = in_force(record, asked, asked.ended_at)
+        if not versions:
+            continue
+        allowing = sum(
+            bool(v.services_of(asked.host, asked.path)) for v in versions
+        )
+        if asked.status != 404 or allowing == len(versions):
+            detail = f"status {asked.status}, {_describe(asked, versions)}"
+            verdict.wrong.append(Violation("denied", asked.request, detail))
+        elif allowing:
+            verdict.changing += 1
+        else:
+            verdict.right += 1
+    return verdict
+
+
+@check("denied")
+def allowed_requests_are_not_denied(record: Record) -> Iterator[Violation]:
+    """A request that all versions in force allow is ended by a 3xx or 4xx."""
+    yield from judge(record).wrong
+
+
+@check("route")
+def runs_are_where_a_route_leads(record: Record) -> Iterator[Violation]:
+    """A request runs at a service to which no version in force leads it."""
+    for asked, runs in _ask_and_runs(record):
+        for run in runs:
+            versions = in_force(record, asked, run.started_at)
+            if versions and not any(
+                run.service in v.services_of(asked.host, asked.path)
+                for v in versions
+            ):
+                detail = f"ran at {run.service}, {_describe(asked, versions)}"
+                yield Violation("route", asked.request, detail)
+
+
+@check("untold")
+def unknown_routes_are_told(record: Record) -> Iterator[Violation]:
+    """Requests that no version in force allows get another answer than 404."""
+    untold: list[str] = []
+    count = 0
+    for asked, _ in _ask_and_runs(record):
+        versions = in_force(record, asked, asked.ended_at)
+        names = {asked.instance, "store"}
+        if (
+            not versions
+            or not asked.complete
+            or not record.calm(names, asked.sent_at - CONTACT_S, asked.ended_at)
+            or any(v.services_of(asked.host, asked.path) for v in versions)
+        ):
+            continue
+        count += 1
+        if 200 <= asked.status < 300:
+            detail = f"status {asked.status}, {_describe(asked, versions)}"
+            yield Violation("untold", asked.request, detail)
+        elif asked.status != 404:
+            untold.append(f"{asked.request} with {asked.status}")
+    if len(untold) > UNTOLD_FEW and len(untold) > UNTOLD_SHARE * count:
+        detail = f"{len(untold)} of {count}, such as {untold[0]}"
+        yield Violation("untold", "callers", detail)
+
+
+@check("regress")
+def routes_do_not_go_back(record: Record) -> Iterator[Violation]:
+    """An instance denies or serves by an older version than before it.
+
+    Complements `config`, which sees one route only, and only its runs.
+    """
+    # Instance: (when it was seen, oldest version that explains what was seen).
+    known: dict[tuple[str, int], tuple[float, int]] = {}
+    for at, asked, numbers in sorted(_evidence(record), key=lambda e: e[0]):
+        key = (asked.instance, asked.incarnation)
+        seen_at, oldest = known.get(key, (0.0, 0))
+        if max(numbers) < oldest and asked.sent_at > seen_at + ROLLBACK_S:
+            detail = (
+                f"{asked.host}{asked.path} at {asked.instance} handled by "
+                f"version {max(numbers)} after {oldest}"
+            )
+            yield Violation("regress", asked.request, detail)
+        if min(numbers) > oldest:
+            known[key] = (at, min(numbers))
+
+
+def _evidence(record: Record) -> Iterator[tuple[float, Asked, list[int]]]:
+    """Yields what shows which versions an instance may have applied."""
+    for asked, runs in _ask_and_runs(record):
+        denied = asked.status == 404 and not asked.seal
+        if not denied and not runs:
+            continue
+        at = asked.ended_at if denied else runs[0].started_at
+        # Another process may have answered around a start.
+        if not record.calm({asked.instance}, asked.sent_at - CONTACT_S, at):
+            continue
+        numbers = []
+        for version in record.versions:
+            services = version.services_of(asked.host, asked.path)
+            fits = not services if denied else runs[0].service in services
+            if version.sent_at <= at and fits:
+                numbers.append(version.number)
+        if numbers:
+            yield at, asked, numbers
+
+
 @check("one")
 def one_instance_orders(record: Record) -> Iterator[Violation]:
     """Two instances order an engine at once, or fences go back."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -6,6 +6,13 @@
 
 # Name of spans in which the soak itself got too little processor time.
 MACHINE = "machine"
+HOST = "soak.example"
+# Services of the route whose versions the checks tell apart, in turn: more than
+# an instance may lag behind while versions follow in quick succession.
+CONFIG_SERVICES = 16
+
+# Services to which a host and a prefix lead.
+Routes = dict[tuple[str, str], frozenset[str]]
 
 
 class Kind(enum.StrEnum):
@@ -15,6 +22,18 @@
     UNSAFE = "unsafe"
     STREAM = "stream"
     CONFIG = "config"
+    # On a route that comes and goes, or that never existed.
+    ADDED = "added"
+
+
+# Time that callers wait, which is the routes' time-out as well.
+PATIENCE_S = {
+    Kind.SAFE: 3.0,
+    Kind.UNSAFE: 3.0,
+    Kind.STREAM: 6.0,
+    Kind.CONFIG: 3.0,
+    Kind.ADDED: 3.0,
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,8 +53,8 @@
       seal: Signature that came with the answer.
       body: Body as received.
       left: Whether the caller left before the end.
-      acked_version: Newest configuration that the store had acknowledged when
-        the request was sent.
+      host: Host that the caller named, in lower case and without a port.
+      path: Path without the query.
     """
 
     request: str
@@ -50,7 +69,8 @@
     seal: str = ""
     body: bytes = b""
     left: bool = False
-    acked_version: int = 0
+    host: str = HOST
+    path: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +116,35 @@
     planned: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Version:
+    """A version of the configuration as the operator wrote it.
+
+    Attributes:
+      number: The version.
+      routes: Its routes.
+      sent_at: When it was sent to the store.
+      acked_at: When the store acknowledged it.
+    """
+
+    number: int
+    routes: Routes
+    sent_at: float
+    acked_at: float = float("inf")
+
+    def services_of(self, host: str, path: str) -> frozenset[str]:
+        """Returns the services that may run a request; empty without a route.
+
+        Written anew from the protocol page, independent of the product's code.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            services = self.routes.get((host, path[: end + 1]))
+            if services:
+                return services
+        return frozenset()
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """All that was seen in one run of the soak.
@@ -106,7 +155,7 @@
       orders: Orders in order of arrival.
       leaving: When the store acknowledged that a target leaves, by identity.
       disturbed: Times of faults and planned work.
-      configured: When the store acknowledged each version.
+      versions: All versions that were sent, in order.
       faults: What engines saw that must not be, such as a full memory.
     """
 
@@ -115,7 +164,7 @@
     orders: list[OrderSeen] = dataclasses.field(default_factory=list)
     leaving: dict[str, float] = dataclasses.field(default_factory=dict)
     disturbed: list[Span] = dataclasses.field(default_factory=list)
-    configured: dict[int, float] = dataclasses.field(default_factory=dict)
+    versions: list[Version] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def run(self, run: Run) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,27 +10,16 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 
-import msgspec
-
 from carobsail import httpserver, keyvalue, localdeployment
-from soak import polling, storestandin
-from soak.callers import HOST, PATIENCE_S, Callers
-from soak.checks import CONFIG_SERVICES
+from soak import configurations, polling, storestandin
+from soak.callers import Callers
+from soak.configurations import MODELS
 from soak.proxy import Link
-from soak.records import MACHINE, Kind, Record, Span
+from soak.records import CONFIG_SERVICES, MACHINE, Record, Span, Version
 from soak.schedule import Step
-from soak.targets import (
-    ADAPTER_PLACES,
-    ENGINE_MB,
-    MODEL_MB,
-    SLOTS,
-    STORE_LOAD_S,
-    Engine,
-    Target,
-)
+from soak.targets import Engine, Target
 
 ZONES = {"dc-a": "north", "dc-b": "north", "dc-c": "south"}
-MODELS = 9
 GRACE_S = 8.0
 RESTART_S = 1.0
 # Two questions in a row without a 200 take an instance out.
@@ -39,6 +28,14 @@
 # The soak's own loop got no processor time for this long.
 LATE_S = 0.25
 SAMPLE_S = 0.05
+# Mean time between two versions of the configuration; some follow at once.
+VERSIONS_S = 2.5
+SERIES_GAP_S = 0.4
+SERIES_SHARE = 0.3
+# Part of the versions that take effect in the store as it goes away.
+UNACKED_SHARE = 0.5
+# Time after which the operator repeats a write without an answer.
+REPEAT_S = 0.5
 
 _Act = Callable[["World", Step], Awaitable[None]]
 _ACTS: dict[str, _Act] = {}
@@ -117,7 +114,9 @@
         self._rng = rng
         self._store = storestandin.StoreStandin(page_items=500)
         self._store_servers: list[httpserver.Server] = []
-        self._version = 0
+        self._series = configurations.Series(seed)
+        # The operator writes one version at a time.
+        self._writing = asyncio.Lock()
         places = list(ZONES)
         self.instances = [
             Instance(f"n{n + 1}", f"127.0.1.{n + 1}", directory)
@@ -162,7 +161,7 @@
         for number, instance in enumerate(self.instances):
             await self._prepare(instance, number, common)
         for instance in self.instances:
-            await instance.start()
+            await self.launch(instance)
             self._spawn(self._watch_readiness(instance))
         self._spawn(self._watch_machine())
 
@@ -189,6 +188,13 @@
             "grace_s": GRACE_S,
         }
 
+    async def launch(self, instance: Instance) -> None:
+        """Starts the process of an instance and tells the callers."""
+        await instance.start()
+        self.callers.find(
+            instance.name, instance.callers.port, instance.incarnation
+        )
+
     async def stop(self) -> None:
         """Ends all that was started."""
         for task in list(self._tasks):
@@ -210,12 +216,15 @@
         """Carries out the steps; returns when the last one had ended."""
         loop = asyncio.get_running_loop()
         start = loop.time()
+        operator = self._spawn(self._operate())
         acts: list[asyncio.Task[None]] = []
         for step in steps:
             await asyncio.sleep(max(0.0, start + step.at - loop.time()))
             acts.append(self._spawn(_ACTS[step.kind](self, step)))
         if acts:
             await asyncio.wait(acts)
+        operator.cancel()
+        await asyncio.wait([operator])
         for task in acts:
             task.result()  # A fault of the soak itself ends the run.
         return loop.time()
@@ -261,12 +270,39 @@
         return self._store
 
     async def configure(self) -> None:
-        """Writes the next configuration as the operator."""
-        self._version += 1
-        value = _configuration(self._version)
-        await self._store.data.transact([], [keyvalue.Put("op/config", value)])
-        now = asyncio.get_running_loop().time()
-        self.record.configured[self._version] = now
+        """Writes the next configuration as the operator.
+
+        The store may go away before it acknowledges a version that it has
+        taken, or lose that answer; the operator then writes it again.
+        """
+        async with self._writing:
+            if self._rng.random() >= UNACKED_SHARE:
+                await polling.until(lambda: not self._store.down)
+            value = self._series.advance()
+            version = Version(
+                self._series.version, self._series.routes, self._now()
+            )
+            self.record.versions.append(version)
+            while True:
+                await self._store.data.transact(
+                    [], [keyvalue.Put("op/config", value)]
+                )
+                if not self._store.down and not self._store.lose_writes:
+                    break
+                self._store.lose_writes = max(0, self._store.lose_writes - 1)
+                await asyncio.sleep(REPEAT_S)
+                await polling.until(lambda: not self._store.down)
+            version.acked_at = self._now()
+
+    async def _operate(self) -> None:
+        """Writes versions until cancelled, some in quick succession."""
+        rng = random.Random(self._rng.random())
+        while True:
+            gap_s = rng.expovariate(1.0 / VERSIONS_S)
+            if rng.random() < SERIES_SHARE:
+                gap_s = rng.uniform(0.0, SERIES_GAP_S)
+            await asyncio.sleep(gap_s)
+            await self.configure()
 
     async def _watch_readiness(self, instance: Instance) -> None:
         """Asks as a balancer does."""
@@ -308,62 +344,6 @@
         return False
 
 
-def _configuration(version: int) -> bytes:
-    def route(kind: Kind, wire: str, service: str, attempts: int):
-        return {
-            "name": str(kind),
-            "host": HOST,
-            "prefix": f"/{kind}/",
-            "routeType": wire,
-            "timeoutMs": 1000 * PATIENCE_S[kind],
-            "maxAttempts": attempts,
-            "targetLatencyMs": 1000 if wire == "streaming" else 250,
-            "service": service,
-            "resumable": wire == "streaming",
-        }
-
-    engine = {
-        "slots": SLOTS,
-        "kvCapacity": 120_000,
-        "weightsMb": ENGINE_MB,
-        "adapterSlots": ADAPTER_PLACES,
-        "loadsPerS": 1.1,
-        "models": [
-            {
-                "name": f"m{n}",
-                "weightsMb": MODEL_MB,
-                "loadTimeS": STORE_LOAD_S,
-                "adapters": 3,
-                "adapterMb": 60,
-            }
-            for n in range(MODELS)
-        ],
-    }
-    names = ["plain", *(f"c{n}" for n in range(CONFIG_SERVICES))]
-    current = f"c{version % CONFIG_SERVICES}"
-    return msgspec.json.encode(
-        {
-            "version": version,
-            "routes": [
-                route(Kind.SAFE, "safe", "plain", 2),
-                route(Kind.UNSAFE, "unsafe", "plain", 2),
-                route(Kind.STREAM, "streaming", "llm", 2),
-                route(Kind.CONFIG, "safe", current, 1),
-            ],
-            "services": [
-                *({"name": n, "maxConns": 64} for n in names),
-                {"name": "llm", "maxConns": 64, "engine": engine},
-            ],
-            "limits": {
-                "maxHeaderBytes": 16_384,
-                "maxBodyBytes": 1_048_576,
-                "headerTimeoutMs": 5000,
-                "idleTimeoutMs": 20_000,
-            },
-        }
-    )
-
-
 # What the steps do.
 
 
@@ -382,7 +362,7 @@
         except TimeoutError:
             instance.signal(signal.SIGKILL)
             await instance.wait()
-        await instance.start()
+        await world.launch(instance)
     instance.held = False
 
 
@@ -397,7 +377,7 @@
         instance.signal(signal.SIGKILL)
         await instance.wait()
         await asyncio.sleep(RESTART_S)
-        await instance.start()
+        await world.launch(instance)
     instance.held = False
 
 
@@ -566,10 +546,9 @@
 
 @act
 async def change_configuration(world: World, step: Step) -> None:
-    """Writes the next configuration."""
-    del step
-    await polling.until(lambda: not world.store.down)
-    await world.configure()
+    """Writes versions of the configuration in quick succession."""
+    for _ in range(1 + int(3 * step.how)):
+        await world.configure()
 
 
 @act
