Let soak callers probe each change just behind the apply bound

Cause: random traffic rarely meets an instance that applies a version a little late, and ways to the store had no distance.

Change: after each version callers ask every ready instance for a route that changed, 0.7 s after the acknowledgement and just behind the apply bound. Ways from the far region to the store take 20 ms. The line of counts tells how many requests were judged with the bounds of an instance in touch.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -94,8 +94,7 @@
         self.ready.pop(instance, None)
 
     async def _ask(self) -> None:
-        """Sends one request and records its answer."""
-        loop = asyncio.get_running_loop()
+        """Sends one request of the traffic."""
         kinds = list(_WEIGHTS)
         kind = self._rng.choices(kinds, [_WEIGHTS[k] for k in kinds])[0]
         probe = kind in (Kind.SAFE, Kind.ADDED) and (
@@ -103,12 +102,35 @@
         )
         places = self.every if probe else self.ready
         instance = self._rng.choice(sorted(places))
-        port, incarnation = places[instance]
+        route = HOST, f"/{kind}/"
+        if kind is Kind.ADDED:
+            route = self._draw_route()
+        await self._send(kind, instance, *places[instance], route)
+
+    async def probe(self, changed: list[tuple[str, str]]) -> None:
+        """Asks each ready instance for one of the routes that changed."""
+        asks = []
+        for instance, place in self.ready.items():
+            route = self._rng.choice(changed)
+            kind = Kind.ADDED
+            if route == (HOST, f"/{Kind.CONFIG}/"):
+                kind = Kind.CONFIG
+            asks.append(self._send(kind, instance, *place, route))
+        await asyncio.gather(*asks)
+
+    async def _send(
+        self,
+        kind: Kind,
+        instance: str,
+        port: int,
+        incarnation: int,
+        route: tuple[str, str],
+    ) -> None:
+        """Sends a request to an instance and records its answer."""
+        loop = asyncio.get_running_loop()
         self._count += 1
         request = f"q{self._count:06d}{self._rng.getrandbits(24):06x}"
-        host, prefix = HOST, f"/{kind}/"
-        if kind is Kind.ADDED:
-            host, prefix = self._draw_route()
+        host, prefix = route
         asked = Asked(
             request,
             kind,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -189,6 +189,12 @@
             seen[key] = (version, run.started_at)
 
 
+def in_touch(record: Record, asked: Asked, until: float) -> bool:
+    """Whether the bounds of the configuration hold for a request."""
+    names = {asked.instance, "store"}
+    return record.calm(names, asked.sent_at - CONTACT_S, until)
+
+
 def in_force(record: Record, asked: Asked, until: float) -> list[Version]:
     """Returns the versions that may be in force while a request is under way.
 
@@ -202,8 +208,7 @@
       until: When it was handled at the latest; later versions do not count.
     """
     oldest = 0
-    names = {asked.instance, "store"}
-    if record.calm(names, asked.sent_at - CONTACT_S, until):
+    if in_touch(record, asked, until):
         due_at = asked.sent_at - APPLY_S
         oldest = max(
             (v.number for v in record.versions if v.acked_at <= due_at),
@@ -227,11 +232,14 @@
     """What became of final statuses of 3xx or 4xx that are carobsail's own.
 
     Attributes:
+      in_touch: Number of requests at instances in touch, whatever they got;
+        others are judged without the apply bound.
       right: Number of 404 that every version in force asks for.
       changing: Number of 404 that only some versions in force ask for.
       wrong: Requests that had to be served, with what they got.
     """
 
+    in_touch: int = 0
     right: int = 0
     changing: int = 0
     wrong: list[Violation] = dataclasses.field(default_factory=list)
@@ -239,7 +247,7 @@
     def __str__(self) -> str:
         return (
             f"own 4xx: {self.right} right, {self.changing} during a change, "
-            f"{len(self.wrong)} wrong"
+            f"{len(self.wrong)} wrong; {self.in_touch} requests in touch"
         )
 
 
@@ -250,6 +258,7 @@
     """
     verdict = Verdict()
     for asked, _ in _ask_and_runs(record):
+        verdict.in_touch += in_touch(record, asked, asked.ended_at)
         own = 300 <= asked.status < 500 and not asked.seal
         if not own or asked.status in PASSING:
             continue
@@ -296,11 +305,10 @@
     count = 0
     for asked, _ in _ask_and_runs(record):
         versions = in_force(record, asked, asked.ended_at)
-        names = {asked.instance, "store"}
         if (
             not versions
             or not asked.complete
-            or not record.calm(names, asked.sent_at - CONTACT_S, asked.ended_at)
+            or not in_touch(record, asked, asked.ended_at)
             or any(v.services_of(asked.host, asked.path) for v in versions)
         ):
             continue
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,6 +12,7 @@
     Attributes:
       port: Port that clients connect to.
       delay_s: Time by which each piece is held up, in either direction.
+      distance_s: Time that is added to it at all times.
     """
 
     def __init__(self, name: str) -> None:
@@ -19,6 +20,7 @@
         self.name = name
         self.port = 0
         self.delay_s = 0.0
+        self.distance_s = 0.0
         self._target = ("127.0.0.1", 0)
         self._up = asyncio.Event()
         self._down = asyncio.Event()
@@ -99,8 +101,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(_READ_BYTES):
                 await gate.wait()
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
+                if self.delay_s or self.distance_s:
+                    await asyncio.sleep(self.delay_s + self.distance_s)
                 writer.write(data)
                 await writer.drain()
             await gate.wait()
--- a/soak/records.py
+++ b/soak/records.py
@@ -145,6 +145,11 @@
         return frozenset()
 
 
+def changed_routes(old: Routes, new: Routes) -> list[tuple[str, str]]:
+    """Returns the host and the prefix of routes that differ."""
+    return sorted(k for k in old | new if old.get(k) != new.get(k))
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """All that was seen in one run of the soak.
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,15 +11,26 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from carobsail import httpserver, keyvalue, localdeployment
-from soak import configurations, polling, storestandin
+from soak import checks, configurations, polling, storestandin
 from soak.callers import Callers
 from soak.configurations import MODELS
 from soak.proxy import Link
-from soak.records import CONFIG_SERVICES, MACHINE, Record, Span, Version
+from soak.records import (
+    CONFIG_SERVICES,
+    MACHINE,
+    Record,
+    Span,
+    Version,
+    changed_routes,
+)
 from soak.schedule import Step
 from soak.targets import Engine, Target
 
 ZONES = {"dc-a": "north", "dc-b": "north", "dc-c": "south"}
+STORE_REGION = "north"
+# One way between regions on the users' sheets. With pieces of 64 KB it also
+# limits a way to some 25 Mbit/s, where the sheets have 30.
+REGION_DISTANCE_S = 0.02
 GRACE_S = 8.0
 RESTART_S = 1.0
 # Two questions in a row without a 200 take an instance out.
@@ -34,6 +45,9 @@
 SERIES_SHARE = 0.3
 # Part of the versions that take effect in the store as it goes away.
 UNACKED_SHARE = 0.5
+# Times after an acknowledgement at which callers ask for what changed; the
+# last one lies just behind the apply bound.
+PROBES_S = (0.7, checks.APPLY_S + 0.02)
 # Time after which the operator repeats a write without an answer.
 REPEAT_S = 0.5
 
@@ -172,12 +186,15 @@
         self._store_servers.append(server)
         await instance.store.open()
         instance.store.lead_to(server.port)
+        data_centre = list(ZONES)[number % len(ZONES)]
+        if ZONES[data_centre] != STORE_REGION:
+            instance.store.distance_s = REGION_DISTANCE_S
         await instance.callers.open()
         instance.callers.lead_to(ports[0], instance.address)
         instance.settings = {
             "instance": instance.name,
             "address": instance.address,
-            "data_centre": list(ZONES)[number % len(ZONES)],
+            "data_centre": data_centre,
             "regions": ZONES,
             "callers_listen": f"{instance.address}:{ports[0]}",
             "readiness_listen": f"{instance.address}:{ports[1]}",
@@ -278,6 +295,7 @@
         async with self._writing:
             if self._rng.random() >= UNACKED_SHARE:
                 await polling.until(lambda: not self._store.down)
+            before = self._series.routes
             value = self._series.advance()
             version = Version(
                 self._series.version, self._series.routes, self._now()
@@ -293,6 +311,19 @@
                 await asyncio.sleep(REPEAT_S)
                 await polling.until(lambda: not self._store.down)
             version.acked_at = self._now()
+        changed = changed_routes(before, version.routes)
+        self._spawn(self._probe(version.acked_at, changed))
+
+    async def _probe(
+        self, acked_at: float, changed: list[tuple[str, str]]
+    ) -> None:
+        """Lets callers ask for changed routes before and after the bound.
+
+        Random traffic rarely meets an instance that is late by a little.
+        """
+        for after_s in PROBES_S:
+            await asyncio.sleep(max(0.0, acked_at + after_s - self._now()))
+            await self.callers.probe(changed)
 
     async def _operate(self) -> None:
         """Writes versions until cancelled, some in quick succession."""
