Slow down reads of a value that the store refuses; keep a gap

Calls are billed. Cause: a value that is missing was asked for every 0.1 s without an end. A deputy that knew less than the instance ended its mark of a lost message, so that it followed the relay with a hole until the next board. Change: the pause doubles up to 1 s; the mark stays while the deputy is behind.

--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -301,7 +301,8 @@
                 revision=found.revision,
             )
             return False
-        self._gap = False
+        # The relay may have told of changes that the deputy has not seen yet.
+        self._gap = found.revision < self.revision
         self._follow(address)
         return True
 
@@ -455,6 +456,7 @@
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        retry_s = FIRST_RETRY_S
         # The first deputy must not wait for the second, which asks it.
         others = () if self.leads else self.deputies
         peers = list(dict.fromkeys(p for p in (source, *others) if p))
@@ -483,6 +485,7 @@
                     # One silent source must not cost several time-outs.
                     peers.remove(peer)
                     continue
+                retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
             elif value is None:
                 if not peer:
                     # It was deleted; that change comes by itself.
@@ -503,7 +506,7 @@
                 )
                 self._apply([found], 0)
                 return
-            await asyncio.sleep(FIRST_RETRY_S)
+            await asyncio.sleep(retry_s)
 
     async def _read_value(
         self, key: str
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -220,3 +220,66 @@
         await asyncio.sleep(0.05)
     assert store.calls["watch"] <= 10.0 / (RELAY_PAUSE_S / 2)
     followed.task.cancel()
+
+
+async def test_value_that_the_store_refuses_is_not_asked_for_at_full_rate():
+    """Instances that the store turned away made 490 calls in 5 s."""
+    store = Store()
+    await put(store, "a")
+    followed = Followed(store)
+    await asyncio.sleep(1.0)
+    mirror = followed.mirror
+    followed.task.cancel()
+    store.available = False
+    reads = store.calls["range"]
+    event = keyvalue.WatchEvent("big", None, mirror.revision + 1)
+    mirror.relayed_changes(
+        [RelayedChange(event, omitted=True)],
+        mirror.revision,
+        mirror.revision + 1,
+        "",
+    )
+    await asyncio.sleep(10.0)
+    assert store.calls["range"] - reads <= 15
+    assert mirror.copy.complete_revision < mirror.revision
+
+
+async def test_follower_ahead_of_a_relay_that_read_all_anew():
+    """A target that came and went in the relay's gap stays listed."""
+    told = []
+    relay, follower = Followed(Store()).mirror, Followed(Store()).mirror
+    relay._on_changes = lambda *change: told.append(change)
+    put_a = keyvalue.WatchEvent("servers/a", b"v", 2)
+    relay._apply([put_a], 2)
+    follower._apply([put_a], 2)
+    # A deputy told the follower of b while the relay was cut off.
+    follower._apply([keyvalue.WatchEvent("servers/b", b"v", 3)], 4)
+    told.clear()
+    # b is gone at 5, the store has lost its history, the relay reads all.
+    listed = keyvalue.RangeResult(9, (keyvalue.KeyValue("servers/a", b"v", 2),))
+    relay._tell(relay.copy.take_all(listed), 2)
+    for changes, before, after in told:
+        follower.relayed_changes(
+            [RelayedChange(c) for c in changes], before, after, ""
+        )
+    gone = follower.value("servers/b") is None
+    assert gone or follower.copy.complete_revision < 9
+
+
+async def test_deputy_that_knows_less_does_not_end_a_gap():
+    """A lost message of the relay was forgotten until the next board."""
+    behind = storecopy.CopyChanges(8, 0.2, False, ())
+
+    class Behind(GonePeers):
+        async def read_changes(self, address, after, wait_s):
+            """See base class."""
+            return behind
+
+    followed = Followed(Store(), Behind())
+    mirror = followed.mirror
+    followed.task.cancel()
+    mirror._apply([keyvalue.WatchEvent("servers/a", b"v", 2)], 10)
+    mirror.set_deputies(["10.0.0.2:1"], leads=False)
+    mirror.relayed(11, 0.0)
+    assert await mirror._ask_deputies()
+    assert not mirror._relay_serves()
--- a/tests/test_storemirror_fleet.py
+++ b/tests/test_storemirror_fleet.py
@@ -17,9 +17,9 @@
 RECOVER_S = 15.0
 
 
-async def running_fleet():
+async def running_fleet(near=6, far=33, far_places=3):
     """Returns instances of two regions that follow the relay."""
-    fleet = Fleet(near=6, far=33, far_places=3)
+    fleet = Fleet(near, far, far_places)
     await fleet.change(1, SMALL)
     await fleet.start()
     await asyncio.sleep(5.0)
@@ -104,3 +104,29 @@
     await asyncio.sleep(5.0)
     await fleet.stop()
     assert not fleet.late(2, second, APPLY_SMALL_FLEET_S)
+
+
+async def test_configuration_is_in_force_in_time_past_first_deputies_cut_off():
+    """CONFIG on trouble-1: others waited for them, then all read the store.
+
+    The relay is well; the store turns the first deputies away.
+    """
+    fleet = await running_fleet()
+    for instance in fleet.instances:
+        instance.cut = instance.name in ("far0-1", "far1-1", "far2-1")
+    second = await fleet.change(2, LARGE)
+    await asyncio.sleep(8.0)
+    await fleet.stop()
+    assert not fleet.late(2, second, APPLY_S)
+
+
+async def test_small_fleet_without_relay_and_first_deputy_is_in_time():
+    """Both freeze just before a version; each silence was waited for."""
+    fleet = await running_fleet(near=4, far=3, far_places=1)
+    second = next(i for i in fleet.instances if i.name == "near-2")
+    for instance in (fleet.relay, second):
+        instance.down = instance.cut = True
+    changed = await fleet.change(2, SMALL)
+    await asyncio.sleep(6.0)
+    await fleet.stop()
+    assert not fleet.late(2, changed, APPLY_SMALL_FLEET_S)
