--- a/carobsail/platform/documents.py
+++ b/carobsail/platform/documents.py
@@ -302,7 +302,7 @@
         _log,
         "document_ignored",
         level=logging.WARNING,
-        key=event.key,
+        item=event.key,
         revision=event.mod_revision,
         reason=str(decoded.reason),
         detail=decoded.detail,
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -476,7 +476,7 @@
                 telemetry.log(
                     _log,
                     "value_not_read",
-                    key=event.key,
+                    item=event.key,
                     peer=value.peer,
                     reason=str(value.reason),
                     detail=value.detail,
@@ -495,7 +495,7 @@
                 telemetry.log(
                     _log,
                     "value_read",
-                    key=event.key,
+                    item=event.key,
                     peer=peer or "store",
                     revision=value.mod_revision,
                     told_revision=event.mod_revision,
