Split deputies and the reading of long values off the store's mirror

The choice is a module without input and output (deputies), the reading one of its own (valuereader); the base of what reads other instances stands beside the data that it returns.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from carobsail import members, storemirror, summaries
+from carobsail import deputies, members, storemirror, summaries
 
 # Who the deputies are is told again after this time; followers follow the
 # relay for 1.8 s without hearing from it.
@@ -100,7 +100,7 @@
                     source="" if peer.address == first else source,
                     deputies=[
                         self._port_of(p.address)
-                        for p in peers[: storemirror.DEPUTIES]
+                        for p in peers[: deputies.COUNT]
                         if p is not peer
                     ]
                     if tell_deputies
@@ -115,9 +115,7 @@
             self._members.peers(),
             key=lambda p: p.data_centre != self._data_centre,
         )
-        return [
-            self._port_of(p.address) for p in near_first[: storemirror.DEPUTIES]
-        ]
+        return [self._port_of(p.address) for p in near_first[: deputies.COUNT]]
 
     def _port_of(self, address: str) -> str:
         return f"{address}:{self._operator_port}"
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -330,7 +330,9 @@
         elif isinstance(message, summaries.StoreChanges):
             if message.fence >= self._board_fence:
                 if message.deputies is not None and not self.lease.fence:
-                    self._mirror.set_deputies(message.deputies, message.leads)
+                    self._mirror.deputies.change(
+                        message.deputies, message.leads
+                    )
                 self._mirror.relayed_changes(
                     [_relayed(change) for change in message.changes],
                     message.before,
@@ -500,7 +502,7 @@
     def _send_board(self) -> None:
         now = asyncio.get_running_loop().time()
         self._members.expire(now - demandbook.SUMMARY_VALID_S)
-        self._mirror.set_deputies(self._relay.deputies(), True)
+        self._mirror.deputies.change(self._relay.deputies(), True)
         known = self._giver.holdings()
         start = self._turn % max(1, len(known))
         repeated = (known + known)[start : start + REPEATED_HOLDINGS]
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -131,7 +131,7 @@
     return encode(storecopy.CopyChanges(0, 0.0, False, values))
 
 
-class SnapshotPeers(storemirror.Peers):
+class SnapshotPeers(storecopy.Peers):
     """See base class; reads the operators' port of the other instance."""
 
     async def read_value(
--- a/carobsail/storecopy.py
+++ b/carobsail/storecopy.py
@@ -4,10 +4,11 @@
 and more than once: from the store, from the relay and from other instances.
 """
 
+import abc
 import dataclasses
 from collections.abc import Iterable
 
-from carobsail import keyvalue
+from carobsail import errors, keyvalue
 
 # Removed keys that are remembered. Targets and instances leave some 10 times
 # a minute in a fleet of 12,000 engines.
@@ -34,6 +35,28 @@
     removed: tuple[tuple[str, int], ...] = ()
 
 
+class Peers(abc.ABC):
+    """Reads the copies of other instances, by `host:port`."""
+
+    @abc.abstractmethod
+    async def read_value(
+        self, address: str, key: str, revision: int
+    ) -> keyvalue.KeyValue | None | errors.Failure:
+        """Reads one value; None if the instance has none of that revision."""
+
+    @abc.abstractmethod
+    async def read_changes(
+        self, address: str, after: int, wait_s: float
+    ) -> CopyChanges | errors.Failure:
+        """Reads what changed after a revision; all of the copy after 0.
+
+        Args:
+          address: `host:port` of the instance.
+          after: Revision up to which nothing is missing here.
+          wait_s: Seconds to wait until there is something new.
+        """
+
+
 def puts(values: Iterable[keyvalue.KeyValue]) -> list[keyvalue.WatchEvent]:
     """Returns values as the changes that wrote them."""
     return [keyvalue.WatchEvent(v.key, v.value, v.mod_revision) for v in values]
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -12,17 +12,21 @@
 between regions.
 """
 
-import abc
 import asyncio
 import dataclasses
 import logging
 import random
 from collections.abc import Callable
 
-from carobsail import errors, keyvalue, storecopy, telemetry
+from carobsail import (
+    deputies,
+    errors,
+    keyvalue,
+    storecopy,
+    telemetry,
+    valuereader,
+)
 
-FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 1.0
 # A leaving target must be known within 2.5 s of the store's acknowledgement,
 # also when a connection went silent or the relay was cut off in between.
 WAIT_S = 2.0
@@ -32,26 +36,16 @@
 # change of the configuration goes to each of them over the link between
 # regions: 175 KB to 44 instances fill it for 2 s.
 RELAY_VALID_S = 1.8
-RELAY_SPREAD_S = 0.3
-# Instances of a data centre that follow the store for it. Two, because the
-# first may be lost with the relay.
-DEPUTIES = 2
-# The second one, which asks the first, waits that much longer for the relay.
-SECOND_DEPUTY_S = 0.1
 # A call that waits returns at the first change, and the 76 targets of a large
 # fleet renew their entries some 20 times a second; calls are billed. Changes of
 # this time are read together, far below the 2.5 s in which they must be known.
 PAUSE_S = 0.6
 RELAY_PAUSE_S = 0.25
-# An omitted value is asked of other instances for this long, then of the
-# store.
-PEER_VALUE_S = 1.5
 # A deputy that knows nothing new answers after this time. It bounds how long a
 # frozen deputy delays what the store tells.
 DEPUTY_WAIT_S = 0.5
 # A deputy whose copy is older than this has lost the store as well.
 DEPUTY_AGE_S = 1.5
-DEPUTY_RETRY_S = 3.0
 
 _log = logging.getLogger(__name__)
 
@@ -66,28 +60,6 @@
     omitted: bool = False
 
 
-class Peers(abc.ABC):
-    """Reads the copies of other instances, by `host:port`."""
-
-    @abc.abstractmethod
-    async def read_value(
-        self, address: str, key: str, revision: int
-    ) -> keyvalue.KeyValue | None | errors.Failure:
-        """Reads one value; None if the instance has none of that revision."""
-
-    @abc.abstractmethod
-    async def read_changes(
-        self, address: str, after: int, wait_s: float
-    ) -> storecopy.CopyChanges | errors.Failure:
-        """Reads what changed after a revision; all of the copy after 0.
-
-        Args:
-          address: `host:port` of the instance.
-          after: Revision up to which nothing is missing here.
-          wait_s: Seconds to wait until there is something new.
-        """
-
-
 class StoreMirror:
     """Follows all keys with a prefix.
 
@@ -97,14 +69,11 @@
       contact_at: When the store last answered.
       relay_address: `host:port` of the relay's copy; empty if not known.
       relays: Whether this instance is the relay.
-      deputies: `host:port` of the other deputies of the data centre.
-      leads: Whether this instance asks the store before the deputies.
+      deputies: Who follows the store without the relay.
     """
 
     __slots__ = (
         "_client",
-        "_fetches",
-        "_avoided_until",
         "_followed",
         "_fresh_at",
         "_on_changes",
@@ -113,14 +82,13 @@
         "_rng",
         "_gap",
         "_news",
-        "_patience_s",
         "_peers",
         "_relayed_until",
         "_told",
+        "_values",
         "contact_at",
         "copy",
         "deputies",
-        "leads",
         "reachable",
         "relay_address",
         "relays",
@@ -133,7 +101,7 @@
         on_changes: Callable[[Changes, int, int], None],
         on_contact: Callable[[bool], None],
         rng: random.Random,
-        peers: Peers,
+        peers: storecopy.Peers,
     ) -> None:
         """Creates an empty copy.
 
@@ -154,18 +122,20 @@
         self._rng = rng
         self._peers = peers
         self.relay_address = ""
-        self._fetches: set[asyncio.Task[None]] = set()
         self.copy = storecopy.StoreCopy()
+        self._values = valuereader.ValueReader(
+            client,
+            peers,
+            self.copy,
+            lambda value: self._apply(storecopy.puts([value]), 0),
+        )
         self.reachable = False
         self.contact_at = float("-inf")
         self.relays = False
-        self.deputies: tuple[str, ...] = ()
-        self.leads = True
-        self._avoided_until: dict[str, float] = {}
+        self.deputies = deputies.Deputies(rng)
         self._fresh_at = float("-inf")
         # From where the last changes came, for the log.
         self._followed = ""
-        self._patience_s = 0.0
         self._relayed_until = float("-inf")
         self._gap = False
         self._news = asyncio.Event()
@@ -184,7 +154,7 @@
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
-        retry_s = FIRST_RETRY_S
+        retry_s = valuereader.FIRST_RETRY_S
         complete = False
         while True:
             failure = None
@@ -195,25 +165,25 @@
                 self._follow("relay")
                 await self._await_relay()
                 continue
-            elif not self.leads and await self._ask_deputies():
+            elif not self.deputies.leads and await self._ask_deputies():
                 await self._pause()
                 continue
             else:
                 failure = await self._ask_changes()
                 if failure is None:
                     self._follow("store")
-                    retry_s = FIRST_RETRY_S
+                    retry_s = valuereader.FIRST_RETRY_S
                 elif failure.reason is errors.Reason.STALE_REVISION:
                     complete = False
             if failure is None:
                 await self._pause()
                 continue
             self._contact(False, failure)
-            if complete and self.leads and await self._ask_deputies():
+            if complete and self.deputies.leads and await self._ask_deputies():
                 await self._pause()
                 continue
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
-            retry_s = min(MAX_RETRY_S, retry_s * 2.0)
+            retry_s = min(valuereader.MAX_RETRY_S, retry_s * 2.0)
 
     async def _pause(self) -> None:
         """Lets changes gather, unless the relay is heard meanwhile."""
@@ -238,44 +208,20 @@
             )
             self._followed = source
 
-    def set_deputies(self, addresses: list[str], leads: bool) -> None:
-        """Takes over who follows the store for the data centre.
-
-        Args:
-          addresses: `host:port` of the deputies without this instance.
-          leads: Whether this instance is the first deputy or the relay.
-        """
-        self.leads = leads
-        # The deputies notice first that the relay is silent.
-        if leads:
-            self._patience_s = 0.0
-        elif len(addresses) < DEPUTIES:
-            self._patience_s = SECOND_DEPUTY_S
-        else:
-            self._patience_s = self._rng.uniform(
-                SECOND_DEPUTY_S, RELAY_SPREAD_S
-            )
-        if tuple(addresses) != self.deputies:
-            self.deputies = tuple(addresses)
-            self._avoided_until.clear()
-
     async def _ask_deputies(self) -> bool:
         """Asks deputies for changes until one is in touch; tells whether.
 
-        One that did not answer, or had lost the store, is left alone for
-        `DEPUTY_RETRY_S`.
-
         Load pattern: the relay is cut off from the store while a configuration
         with 1,400 added routes changes. 33 instances that read it from the
         store had it 18 s later.
         """
         loop = asyncio.get_running_loop()
-        for address in self.deputies:
-            if self._avoided_until.get(address, 0.0) > loop.time():
+        for address in self.deputies.addresses:
+            if not self.deputies.askable(address, loop.time()):
                 continue
             if await self._ask_deputy(address):
                 return True
-            self._avoided_until[address] = loop.time() + DEPUTY_RETRY_S
+            self.deputies.failed(address, loop.time())
         return False
 
     async def _ask_deputy(self, address: str) -> bool:
@@ -383,7 +329,9 @@
           age_s: Seconds since the store last answered the relay.
         """
         now = asyncio.get_running_loop().time()
-        self._relayed_until = now - age_s + RELAY_VALID_S + self._patience_s
+        self._relayed_until = (
+            now - age_s + RELAY_VALID_S + self.deputies.patience_s
+        )
         if revision > self.revision:
             self._gap = True  # A message with changes was lost.
         elif revision == self.revision:
@@ -421,78 +369,11 @@
             for event in omitted:
                 self.copy.expect(event.key, event.mod_revision)
             self._apply([c.event for c in changes if not c.omitted], after)
+            # The first deputy must not wait for the second, which asks it.
+            others = () if self.deputies.leads else self.deputies.addresses
+            sources = dict.fromkeys(p for p in (source, *others) if p)
             for event in omitted:
-                self._start_fetch(event, source)
-
-    def _start_fetch(self, event: keyvalue.WatchEvent, source: str) -> None:
-        task = asyncio.create_task(self._fetch(event, source))
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
-
-    async def _fetch(self, event: keyvalue.WatchEvent, source: str) -> None:
-        """Reads a long value, from another instance or from the store.
-
-        Load pattern: a configuration of 130 KB changes; if all instances read
-        it from the store, the link between regions takes seconds.
-        """
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        retry_s = FIRST_RETRY_S
-        # The first deputy must not wait for the second, which asks it.
-        others = () if self.leads else self.deputies
-        peers = list(dict.fromkeys(p for p in (source, *others) if p))
-        while True:
-            if not self.copy.misses(event.key, event.mod_revision):
-                return
-            if loop.time() > started_at + PEER_VALUE_S:
-                peers.clear()
-            peer = peers[0] if peers else ""
-            if peer:
-                value = await self._peers.read_value(
-                    peer, event.key, event.mod_revision
-                )
-            else:
-                value = await self._read_value(event.key)
-            if isinstance(value, errors.Failure):
-                telemetry.log(
-                    _log,
-                    "value_not_read",
-                    item=event.key,
-                    peer=value.peer,
-                    reason=str(value.reason),
-                    detail=value.detail,
-                )
-                if peer:
-                    # One silent source must not cost several time-outs.
-                    peers.remove(peer)
-                    continue
-                retry_s = min(MAX_RETRY_S, 2.0 * retry_s)
-            elif value is None:
-                if not peer:
-                    # It was deleted; that change comes by itself.
-                    self.copy.drop_expected(event.key, event.mod_revision)
-                    return
-            elif value.mod_revision >= event.mod_revision:
-                telemetry.log(
-                    _log,
-                    "value_read",
-                    item=event.key,
-                    peer=peer or "store",
-                    revision=value.mod_revision,
-                    told_revision=event.mod_revision,
-                    after_s=loop.time() - started_at,
-                )
-                self._apply(storecopy.puts([value]), 0)
-                return
-            await asyncio.sleep(retry_s)
-
-    async def _read_value(
-        self, key: str
-    ) -> keyvalue.KeyValue | None | errors.Failure:
-        result = await self._client.range(key)
-        if isinstance(result, errors.Failure):
-            return result
-        return next((v for v in result.values if v.key == key), None)
+                self._values.start(event.key, event.mod_revision, sources)
 
     async def _read_all(self) -> errors.Failure | None:
         result = await self._read_relay()
--- a/tests/builders_mirrors.py
+++ b/tests/builders_mirrors.py
@@ -159,7 +159,7 @@
 def deliver(receiver: Instance, message) -> None:
     """Hands the relay's message to an instance."""
     if message.deputies is not None:
-        receiver.mirror.set_deputies(message.deputies, message.leads)
+        receiver.mirror.deputies.change(message.deputies, message.leads)
     receiver.mirror.relayed_changes(
         [
             storemirror.RelayedChange(
@@ -238,7 +238,7 @@
             relay = self.relay
             if relay is None or relay.down:
                 continue
-            relay.mirror.set_deputies(self.changes.deputies(), True)
+            relay.mirror.deputies.change(self.changes.deputies(), True)
             age_s = loop.time() - relay.mirror.contact_at
             for instance in self.instances:
                 if instance is not relay and not instance.down:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -23,6 +23,7 @@
     errors,
     keyvalue,
     orderlease,
+    storecopy,
     storemirror,
     summaries,
     telemetry,
@@ -234,7 +235,7 @@
                 task.cancel()
 
 
-class Copies(storemirror.Peers):
+class Copies(storecopy.Peers):
     """Reads the copies of the instances of a group."""
 
     def __init__(self, group):
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -9,7 +9,6 @@
 from carobsail.storemirror import (
     PAUSE_S,
     RELAY_PAUSE_S,
-    Peers,
     RelayedChange,
     StoreMirror,
 )
@@ -35,7 +34,7 @@
             yield events
 
 
-class GonePeers(Peers):
+class GonePeers(storecopy.Peers):
     """Instances that are gone."""
 
     async def read_value(self, address, key, revision):
@@ -279,7 +278,7 @@
     mirror = followed.mirror
     followed.task.cancel()
     mirror._apply([keyvalue.WatchEvent("servers/a", b"v", 2)], 10)
-    mirror.set_deputies(["10.0.0.2:1"], leads=False)
+    mirror.deputies.change(["10.0.0.2:1"], leads=False)
     mirror.relayed(11, 0.0)
     assert await mirror._ask_deputies()
     assert not mirror._relay_serves()
