--- a/carobsail/valuereader.py
+++ b/carobsail/valuereader.py
@@ -12,8 +12,8 @@
 
 # A value is asked of other instances for this long, then of the store.
 PEER_VALUE_S = 1.5
-# Pauses after calls that the store refused or left unanswered; calls are billed,
-# and a target that leaves must be known within 2.5 s.
+# Pauses after calls that the store refused or left unanswered. Calls are
+# billed, and a target that leaves must be known within 2.5 s.
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 
