Read the terms of a refused request once

A request that is refused before it has a route had its headers read by _admit and again for the log line. The caller now reads them and hands them on; the lines and answers are as before (test_serving and test_badinput pass unchanged).

--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -201,9 +201,13 @@
     ) -> None:
         """Serves one request; see `httpserver.Handler`."""
         now = asyncio.get_running_loop().time()
-        call = self._admit(request, responder, now)
+        terms = self._wire.read_terms(request)
+        if isinstance(terms, errors.Failure):
+            await self._refuse_unadmitted(request, responder, None, terms, now)
+            return
+        call = self._admit(request, responder, terms, now)
         if isinstance(call, errors.Failure):
-            await self._refuse_unadmitted(request, responder, call, now)
+            await self._refuse_unadmitted(request, responder, terms, call, now)
             return
         self.in_flight += 1
         work = asyncio.create_task(self._serve(call))
@@ -226,21 +230,18 @@
         self,
         request: httpserver.Request,
         responder: httpserver.Responder,
+        terms: callerwire.Terms | None,
         failure: errors.Failure,
         now: float,
     ) -> None:
         """Refuses a request before it has a route, and logs what decided."""
-        terms = self._wire.read_terms(request)
-        name, host = "", request.header("host")
-        if not isinstance(terms, errors.Failure):
-            name, host = terms.request, terms.host
         await self._answer_failure(
             responder,
-            name,
+            terms.request if terms else "",
             failure,
             None,
             method=request.method,
-            host=host,
+            host=terms.host if terms else request.header("host"),
             path=request.path[: refusals.MAX_LOGGED_PATH],
             table_revision=self.table.revision if self.table else 0,
             table_age_s=now - self.table_since,
@@ -250,12 +251,10 @@
         self,
         request: httpserver.Request,
         responder: httpserver.Responder,
+        terms: callerwire.Terms,
         now: float,
     ) -> calls.Call | errors.Failure:
         """Finds the route of a request."""
-        terms = self._wire.read_terms(request)
-        if isinstance(terms, errors.Failure):
-            return terms
         if self.table is None:
             return _failure(
                 errors.Reason.NOT_READY,
