Log where changes come from, and show which instance learned last

Cause: the hypotheses of the incident differ in where an instance's list of targets comes from, how old it is, whether a message was missed and whether a removed target is kept. The lines of changes and of sends said none of that, and logs of 61 instances were compared by hand.

Change: configuration_in_force, target_listed and target_gone name source and age; target_gone says whether the target is kept, request_sent whether it has lapsed and how old the copy is; changes_missed is new. carobsailctl spread shows when the first, the median and the last instance learned of each change, which never did, and late sends.

No decision changes.

Conclusion: each hypothesis has a line that only it explains.

--- a/carobsail/ctl.py
+++ b/carobsail/ctl.py
@@ -14,6 +14,7 @@
 
 from carobsail import (
     acceptance,
+    changespread,
     configuration,
     deletion,
     errors,
@@ -21,6 +22,7 @@
     inventory,
     inventorysource,
     keyvalue,
+    loglines,
     operations,
     programsettings,
     settings,
@@ -57,6 +59,20 @@
         )
 
 
+def _read_logs(
+    files: tuple[str, ...], show: Callable[[list[loglines.LogLine]], Result]
+) -> Result:
+    """Shows what the lines of some logs tell."""
+    lines: list[loglines.LogLine] = []
+    for name in files:
+        try:
+            text = pathlib.Path(name).read_text(errors="replace")
+        except OSError as error:
+            return Result(Status.INVALID, (f"{name}: {error}",))
+        lines += loglines.read(text.splitlines(), pathlib.Path(name).stem)
+    return show(lines)
+
+
 def connect(address: str) -> keyvalue.KeyValueClient:
     """Returns a client of the key-value service."""
     # Not needed by `validate`, which works without a network.
@@ -239,22 +255,27 @@
           files: Logs of the instances.
         """
 
-        def work() -> Result:
-            texts: list[str] = []
-            for name in files:
-                try:
-                    text = pathlib.Path(name).read_text(errors="replace")
-                except OSError as error:
-                    return Result(Status.INVALID, (f"{name}: {error}",))
-                texts += text.splitlines()
+        def show(lines: list[loglines.LogLine]) -> Result:
             # fire takes an identity of digits for a number.
-            found = explanation.explain(str(request), texts)
+            found = explanation.explain(str(request), lines)
             if not found:
                 line = f"no line of these logs names request {request}"
                 return Result(Status.INVALID, (line,))
             return Result(Status.DONE, found)
 
-        return Pending(work)
+        return Pending(lambda: _read_logs(files, show))
+
+    def spread(self, *files: str) -> Pending:
+        """Shows when the instances learned of versions and leaving targets.
+
+        Args:
+          files: Logs of the instances.
+        """
+
+        def show(lines: list[loglines.LogLine]) -> Result:
+            return Result(Status.DONE, changespread.describe(lines))
+
+        return Pending(lambda: _read_logs(files, show))
 
     def _pending(
         self,
--- a/carobsail/explanation.py
+++ b/carobsail/explanation.py
@@ -1,9 +1,9 @@
 """Finds in logs what explains one request, for `carobsailctl explain`."""
 
-import datetime
-import re
 from collections.abc import Iterable
 
+from carobsail.loglines import LogLine
+
 # Events up to this long before a request may have caused its end: a load from
 # the weight store takes 9 s.
 BEFORE_S = 15.0
@@ -11,7 +11,6 @@
 # Lines of one section; the newest are shown.
 MAX_LINES = 30
 
-_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _TARGET_EVENTS = frozenset(
     {
         "engine_not_read",
@@ -23,7 +22,10 @@
 )
 _INSTANCE_EVENTS = frozenset(
     {
+        "changes_followed",
+        "changes_missed",
         "configuration_in_force",
+        "copy_read",
         "event_loop_late",
         "order_giver_changed",
         "requests_cut_at_stop",
@@ -31,45 +33,23 @@
         "stopping",
         "store_lost",
         "store_regained",
+        "value_read",
     }
 )
 
 
-class _Line:
-    """A log line with its fields."""
-
-    __slots__ = ("at", "fields", "text")
-
-    def __init__(self, text: str) -> None:
-        self.text = text.strip()
-        self.fields = {
-            name: value.strip('"') for name, value in _FIELD.findall(text)
-        }
-        self.at = _seconds(self.fields.get("time", ""))
-
-    @property
-    def event(self) -> str:
-        return self.fields.get("event", "")
-
-    @property
-    def source(self) -> str:
-        """The word that a log collector put in front: the instance, mostly."""
-        words = self.text.partition("time=")[0].split()
-        return words[-1] if words else ""
-
-
-def explain(request: str, texts: Iterable[str]) -> tuple[str, ...]:
+def explain(request: str, lines: Iterable[LogLine]) -> tuple[str, ...]:
     """Returns the lines about a request and about what it met.
 
     Args:
       request: Identity of the request.
-      texts: Lines of the logs of all instances, in any order.
+      lines: Lines of the logs of all instances, in any order.
 
     Returns:
       Sections for the request, its model, its targets and its instance; empty
       if no line names the request.
     """
-    lines = [_Line(text) for text in texts if "event=" in text]
+    lines = list(lines)
     own = [x for x in lines if x.fields.get("request") == request]
     if not own:
         return ()
@@ -108,17 +88,10 @@
     return tuple(shown)
 
 
-def _about_model(line: _Line, model: str) -> bool:
+def _about_model(line: LogLine, model: str) -> bool:
     """Whether a line tells of a copy of a model that came or went."""
     fields = line.fields
     if line.event == "model_move_planned":
         gone = fields.get("unload", "").split(",")
         return fields.get("load") == model or model in gone
     return line.event == "order_given" and fields.get("model") == model
-
-
-def _seconds(text: str) -> float:
-    try:
-        return datetime.datetime.fromisoformat(text).timestamp()
-    except ValueError:
-        return 0.0  # A line of another program; it is near nothing.
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -182,7 +182,7 @@
                     revision=found.revision,
                     age_s=found.age_s,
                 )
-                mirror.adopt(found.values)
+                mirror.adopt(found.values, seed)
         await asyncio.sleep(ASK_AGAIN_S)
 
 
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -176,6 +176,8 @@
         self.on_need: Callable[[str, str, str], None] = lambda *_: None
         # Set by what tells the order giver that a target was not reached.
         self.on_unreachable: Callable[[], None] = lambda: None
+        # Set by what knows how old the list of targets is, for the log.
+        self.copy_age_s: Callable[[], float] = lambda: 0.0
         self._pools = targetpools.Pools()
         self._memory = promptmemory.PromptMemory()
         self._answers = answerrelay.AnswerRelay(wire, self._memory, metrics)
@@ -596,7 +598,10 @@
             target=target.entry.identity,
             data_centre=target.entry.data_centre,
             entry_revision=target.entry.revision,
+            lapsed=target.lapsed_at is not None,
             table_version=self.table.version,  # type: ignore[union-attr]
+            copy_age_s=self.copy_age_s(),
+            send=progress.sends,
             late=call.late,
             predicted_s=call.predicted_s,
             predicted_end_s=call.forecast.end_s if call.forecast else 0.0,
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -129,6 +129,7 @@
         )
         self._serving.on_need = self._coordination.need
         self._serving.on_unreachable = self._coordination.report_soon
+        self._serving.copy_age_s = lambda: self._mirror.age_s
         self._draining = False
         self._servers: list[httpserver.Server] = []
         self._callers: httpserver.Server | None = None
@@ -255,7 +256,11 @@
                 else "target_gone",
                 target=entry if isinstance(entry, str) else entry.identity,
                 leaving=not isinstance(entry, str) and entry.leaving,
+                kept=isinstance(entry, str)
+                and self._book.get(entry) is not None,
                 revision=event.mod_revision,
+                source=self._mirror.source,
+                copy_age_s=self._mirror.age_s,
             )
         self._coordination.relay(news, before, after)
         if changed:
@@ -293,6 +298,8 @@
             version_before=before.version if before else 0,
             added=len(table.places() - (before.places() if before else set())),
             removed=len(before.places() - table.places()) if before else 0,
+            source=self._mirror.source,
+            copy_age_s=self._mirror.age_s,
         )
         return True
 
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -73,6 +73,8 @@
       relay_address: `host:port` of the relay's copy; empty if not known.
       relays: Whether this instance is the relay.
       deputies: Who follows the store without the relay.
+      source: Where the last changes came from, for the log: `relay`, `store`
+        or the `host:port` of another instance.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "reachable",
         "relay_address",
         "relays",
+        "source",
     )
 
     def __init__(
@@ -132,8 +135,11 @@
             client,
             peers,
             self.copy,
-            lambda value: self._apply(storecopy.puts([value]), 0),
+            lambda value, source: self._apply(
+                storecopy.puts([value]), 0, source
+            ),
         )
+        self.source = ""
         self.reachable = False
         self.contact_at = float("-inf")
         self.relays = False
@@ -263,7 +269,7 @@
                 detail=found.detail,
             )
             return None
-        self._take_changes(found)
+        self._take_changes(found, address)
         return found
 
     async def _ask_deputy(self, address: str) -> bool:
@@ -284,14 +290,14 @@
         self._follow(address)
         return True
 
-    def _take_changes(self, found: storecopy.CopyChanges) -> None:
+    def _take_changes(self, found: storecopy.CopyChanges, address: str) -> None:
         """Takes over what another instance's copy has more than this one."""
         before = self.revision
         news = self.copy.merge(found)
         if found.revision >= before:
             now = asyncio.get_running_loop().time()
             self._fresh_at = max(self._fresh_at, now - found.age_s)
-        self._tell(news, before)
+        self._tell(news, before, address)
 
     async def changes_after(
         self, revision: int, wait_s: float
@@ -357,7 +363,8 @@
         self._contact(True)
         self._fresh_at = self.contact_at
         if events:
-            self._apply(events, max(e.mod_revision for e in events))
+            revision = max(e.mod_revision for e in events)
+            self._apply(events, revision, "store")
         return None
 
     def relayed(self, revision: int, age_s: float) -> None:
@@ -373,7 +380,7 @@
             now - age_s + RELAY_VALID_S + self.deputies.patience_s
         )
         if revision > self.revision:
-            self._gap = True  # A message with changes was lost.
+            self._note_gap(revision)  # A message with changes was lost.
         elif revision == self.revision:
             self._fresh_at = max(self._fresh_at, now - age_s)
         self._news.set()
@@ -410,7 +417,8 @@
             before == self.revision and before in (base, self._listed_to)
         )
         if before > self.revision or not fits:
-            self._gap = self._gap or after > self.revision
+            if after > self.revision:
+                self._note_gap(after)
             self._news.set()
         elif after > self.revision:
             if base:
@@ -418,7 +426,8 @@
             omitted = [c.event for c in changes if c.omitted]
             for event in omitted:
                 self.copy.expect(event.key, event.mod_revision)
-            self._apply([c.event for c in changes if not c.omitted], after)
+            told = [c.event for c in changes if not c.omitted]
+            self._apply(told, after, "relay")
             # The first deputy must not wait for the second, which asks it.
             leads = self.deputies.leads
             others = () if leads else self.deputies.addresses
@@ -429,9 +438,21 @@
                     event.key, event.mod_revision, sources, relay
                 )
 
+    def _note_gap(self, told: int) -> None:
+        """Notes that changes up to a revision were not received."""
+        if not self._gap:
+            telemetry.log(
+                _log,
+                "changes_missed",
+                revision=self.revision,
+                told_revision=told,
+                age_s=self.age_s,
+            )
+        self._gap = True
+
     async def _read_all(self) -> errors.Failure | None:
         result = await self._read_relay()
-        read_store = result is None
+        source = self.relay_address if result else "store"
         if result is None:
             read = await self._client.range(self._prefix)
             if isinstance(read, errors.Failure):
@@ -449,14 +470,14 @@
         telemetry.log(
             _log,
             "copy_read",
-            source="store" if read_store else self.relay_address,
+            source=source,
             keys=len(result.values),
             revision=result.revision,
             revision_before=self.revision,
         )
         before = self.revision
         self._gap = False
-        self._tell(self.copy.take_all(result), before)
+        self._tell(self.copy.take_all(result), before, source)
         return None
 
     async def catch_up(self, address: str) -> None:
@@ -476,7 +497,7 @@
                 _log, "peer_not_read", peer=address, reason=str(found.reason)
             )
             return
-        self._take_changes(found)
+        self._take_changes(found, address)
         if self.revision > before:
             telemetry.log(
                 _log,
@@ -514,21 +535,24 @@
             return keyvalue.RangeResult(found.revision, found.values)
         return None
 
-    def _apply(self, events: Changes, revision: int) -> None:
+    def _apply(self, events: Changes, revision: int, source: str) -> None:
         before = self.revision
-        self._tell(self.copy.apply(events, revision), before)
+        self._tell(self.copy.apply(events, revision), before, source)
 
-    def _tell(self, news: Changes, before: int) -> None:
+    def _tell(self, news: Changes, before: int, source: str) -> None:
         """Passes news on, here and to the instances that wait for them."""
         if news or self.revision > before:
+            self.source = source
             self._told.set()
             self._told = asyncio.Event()
             self._on_changes(news, before, self.revision)
 
-    def adopt(self, values: tuple[keyvalue.KeyValue, ...]) -> None:
+    def adopt(
+        self, values: tuple[keyvalue.KeyValue, ...], address: str
+    ) -> None:
         """Takes over another instance's copy, before the first reading."""
         if not self.revision:
-            self._apply(storecopy.puts(values), 0)
+            self._apply(storecopy.puts(values), 0, address)
 
     def _contact(
         self, reachable: bool, failure: errors.Failure | None = None
--- a/carobsail/valuereader.py
+++ b/carobsail/valuereader.py
@@ -44,7 +44,7 @@
         client: keyvalue.KeyValueClient,
         peers: storecopy.Peers,
         copy: storecopy.StoreCopy,
-        on_value: Callable[[keyvalue.KeyValue], None],
+        on_value: Callable[[keyvalue.KeyValue, str], None],
     ) -> None:
         """Creates a reader that reads nothing yet.
 
@@ -52,7 +52,7 @@
           client: Client of the store.
           peers: Reads the copies of other instances.
           copy: Tells which values are missing.
-          on_value: Receives a value that was read.
+          on_value: Receives a value that was read, and from where.
         """
         self._client = client
         self._peers = peers
@@ -141,7 +141,7 @@
             told_revision=revision,
             after_s=now - started_at,
         )
-        self._on_value(value)
+        self._on_value(value, source or "store")
 
     async def _read(self, key: str, revision: int, sources: list[str]) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -2,10 +2,10 @@
 
 import pathlib
 
-from carobsail import ctl
+from carobsail import ctl, loglines
 from carobsail.explanation import MAX_LINES, explain
 
-LOG = """
+TEXT = """
 n1 time=2026-03-01T22:48:41.000Z level=info event=model_move_planned target=e2 load=m9 unload=m1,m2 net=1.2
 n2 time=2026-03-01T22:48:44.100Z level=info event=order_given target=e2 verb=unload model=m1 adapter="" verdict=accepted
 n1 time=2026-03-01T22:48:30.000Z level=info event=model_move_planned target=e3 load=m5 unload=m1
@@ -18,7 +18,8 @@
 n1 time=2026-03-01T22:48:53.668Z level=info event=request_refused request=q1 status=503 detail="model absent" model=m1
 a line of another program
 n1 time=2026-03-01T22:48:53.700Z level=info event=request_ended request=q11 outcome=served
-""".splitlines()  # noqa: E501 - lines as they are logged.
+"""  # noqa: E501 - lines as they are logged.
+LOG = loglines.read(TEXT.splitlines())
 
 
 def test_lines_of_request_model_target_and_instance():
@@ -46,7 +47,7 @@
 def test_command(tmp_path: pathlib.Path, capsys):
     """An identity that no log has is told apart from an empty answer."""
     file = tmp_path / "n1.log"
-    file.write_text("\n".join(LOG))
+    file.write_text(TEXT)
     assert ctl.run(["explain", "q1", str(file)]) == 0
     assert "model_move_planned" in capsys.readouterr().out
     assert ctl.run(["explain", "q2", str(file)]) == 1
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -136,13 +136,13 @@
     await put(store, "a")
     followed = Followed(store)
     await asyncio.sleep(0.5)
-    followed.mirror.adopt((keyvalue.KeyValue("old", b"x", 1),))
+    followed.mirror.adopt((keyvalue.KeyValue("old", b"x", 1),), "10.0.0.9:1")
     assert followed.seen == [("old", b"x")]
     store.available = True
     await put(store, "a")
     await asyncio.sleep(3.0)
     assert followed.seen[-2:] == [("old", None), ("a", b"v")]
-    followed.mirror.adopt((keyvalue.KeyValue("old", b"x", 1),))
+    followed.mirror.adopt((keyvalue.KeyValue("old", b"x", 1),), "10.0.0.9:1")
     assert ("old", b"x") != followed.seen[-1]
     followed.task.cancel()
 
@@ -250,14 +250,14 @@
     relay, follower = Followed(Store()).mirror, Followed(Store()).mirror
     relay._on_changes = lambda *change: told.append(change)
     put_a = keyvalue.WatchEvent("servers/a", b"v", 2)
-    relay._apply([put_a], 2)
-    follower._apply([put_a], 2)
+    relay._apply([put_a], 2, "store")
+    follower._apply([put_a], 2, "store")
     # A deputy told the follower of b while the relay was cut off.
-    follower._apply([keyvalue.WatchEvent("servers/b", b"v", 3)], 4)
+    follower._apply([keyvalue.WatchEvent("servers/b", b"v", 3)], 4, "store")
     told.clear()
     # b is gone at 5, the store has lost its history, the relay reads all.
     listed = keyvalue.RangeResult(9, (keyvalue.KeyValue("servers/a", b"v", 2),))
-    relay._tell(relay.copy.take_all(listed), 2)
+    relay._tell(relay.copy.take_all(listed), 2, "store")
     for changes, before, after in told:
         follower.relayed_changes(
             [RelayedChange(c) for c in changes], before, after, ""
@@ -278,7 +278,7 @@
     followed = Followed(Store(), Behind())
     mirror = followed.mirror
     followed.task.cancel()
-    mirror._apply([keyvalue.WatchEvent("servers/a", b"v", 2)], 10)
+    mirror._apply([keyvalue.WatchEvent("servers/a", b"v", 2)], 10, "store")
     mirror.deputies.change(["10.0.0.2:1"], leads=False)
     mirror.relayed(11, 0.0)
     assert await mirror._ask_deputies()
@@ -302,7 +302,7 @@
     follower = Followed(Store())
     follower.task.cancel()
     mirror = follower.mirror
-    mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], known)
+    mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], known, "store")
     for message in messages:
         changes = [
             RelayedChange(keyvalue.WatchEvent(c.key, c.value, c.revision))
@@ -320,7 +320,7 @@
     follower = Followed(Store())
     follower.task.cancel()
     mirror = follower.mirror
-    mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], 4)
+    mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], 4, "store")
     event = keyvalue.WatchEvent("b", b"v", 5)
     mirror.relayed_changes([RelayedChange(event)], 2, 5, "", 0)
     assert mirror.revision == 5 and not mirror._gap
