Reproduce removals that are lost and changes that are known late

Callers' requests went to targets that had left, and were answered by an older version.

Change: tests only.

--- a/tests/builders_mirrors.py
+++ b/tests/builders_mirrors.py
@@ -6,6 +6,7 @@
 import asyncio
 import functools
 import random
+from collections.abc import Callable
 
 from carobsail import (
     changerelay,
@@ -78,6 +79,7 @@
       cut: Whether it does not reach the store.
       down: Whether it answers nobody.
       seen: When each version of the configuration came.
+      known: Revision of each change that came, and when, by key.
     """
 
     def __init__(self, fleet: "Fleet", number: int, place: str) -> None:
@@ -87,6 +89,7 @@
         self.cut = False
         self.down = False
         self.seen: dict[int, float] = {}
+        self.known: dict[str, list[tuple[int, float]]] = {}
         self.uplink = Link(INSTANCE_BITS_PER_S)
         self._fleet = fleet
         store_address = f"{self.address.replace('10.', '11.', 1)}"
@@ -105,6 +108,8 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         for change in changes:
+            came = self.known.setdefault(change.key, [])
+            came.append((change.mod_revision, now))
             if change.key == CONFIGURATION and change.value is not None:
                 self.seen.setdefault(int(change.value[:8]), now)
         if self._fleet.relay is self:
@@ -156,18 +161,25 @@
 
 
 class Delivery(members.Members):
-    """Delivers the relay's messages after a millisecond."""
+    """Delivers the relay's messages after a millisecond.
+
+    Attributes:
+      is_lost: Whether the next message is lost.
+      delay_s: Time that the next message takes.
+    """
 
     def __init__(self, fleet: "Fleet") -> None:
         super().__init__(PORT)
         self._fleet = fleet
+        self.is_lost: Callable[[], bool] = lambda: False
+        self.delay_s: Callable[[], float] = lambda: 0.001
 
     def send(self, message, address):
         """See base class."""
         receiver = self._fleet.at(address)
-        if not receiver.down and not self._fleet.relay.down:
+        if not (receiver.down or self._fleet.relay.down or self.is_lost()):
             asyncio.get_running_loop().call_later(
-                0.001, functools.partial(deliver, receiver, message)
+                self.delay_s(), functools.partial(deliver, receiver, message)
             )
 
 
@@ -215,9 +227,16 @@
         """Returns the instance with an address."""
         return self._by_address[address]
 
-    async def put(self, key: str, value: bytes) -> None:
-        """Writes to the store."""
-        await self.store.data.transact([], [keyvalue.Put(key, value)])
+    async def put(self, key: str, value: bytes) -> int:
+        """Writes to the store; returns the revision."""
+        return await self._write(keyvalue.Put(key, value))
+
+    async def remove(self, key: str) -> int:
+        """Removes a key from the store; returns the revision."""
+        return await self._write(keyvalue.Delete(key))
+
+    async def _write(self, write: keyvalue.Put | keyvalue.Delete) -> int:
+        return (await self.store.data.transact([], [write])).revision
 
     async def start(self) -> None:
         """Starts all instances; the first one becomes the relay."""
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
+import types
 
 import pytest
-from builders_mirrors import Sent
+from builders_mirrors import Sent, deliver
 
 from carobsail import changerelay, errors, keyvalue, storecopy
 from carobsail.storemirror import (
@@ -60,6 +61,17 @@
         return self._found
 
 
+class DeputyCopy(GonePeers):
+    """A deputy in touch with the store."""
+
+    def __init__(self, found):
+        self._found = found
+
+    async def read_changes(self, address, after, wait_s):
+        """See base class."""
+        return self._found
+
+
 class Followed:
     """A mirror with what it told."""
 
@@ -285,6 +297,11 @@
     assert not mirror._relay_serves()
 
 
+def take(mirror, message):
+    """Hands a message of the relay to a mirror."""
+    deliver(types.SimpleNamespace(mirror=mirror), message)
+
+
 def listing_messages(before, *rows):
     """Returns what a relay tells after it has read everything anew."""
     sent = Sent(("b-1", "10.1.0.1", "b"))
@@ -304,13 +321,7 @@
     mirror = follower.mirror
     mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], known, "store")
     for message in messages:
-        changes = [
-            RelayedChange(keyvalue.WatchEvent(c.key, c.value, c.revision))
-            for c in message.changes
-        ]
-        mirror.relayed_changes(
-            changes, message.before, message.after, "", message.base
-        )
+        take(mirror, message)
     assert (mirror.revision == 6) == complete
     assert mirror._gap != complete
 
@@ -324,3 +335,75 @@
     event = keyvalue.WatchEvent("b", b"v", 5)
     mirror.relayed_changes([RelayedChange(event)], 2, 5, "", 0)
     assert mirror.revision == 5 and not mirror._gap
+
+
+@pytest.mark.parametrize("lost", range(3))
+async def test_removal_of_a_listing_is_not_lost_with_a_message(lost):
+    """DRAIN: a target that was gone stayed listed for good on one instance.
+
+    The relay read everything anew; one of its messages was lost.
+    """
+    rows = [keyvalue.WatchEvent(f"k{n}", b"x" * 900, 4 + n) for n in range(3)]
+    rows.append(keyvalue.WatchEvent("servers/gone", None, 7))
+    messages = listing_messages(2, *rows)
+    assert len(messages) == 3
+    follower = Followed(Store())
+    follower.task.cancel()
+    mirror = follower.mirror
+    listed = keyvalue.WatchEvent("servers/gone", b"v", 1)
+    mirror._apply([listed], 2, "store")
+    for message in messages[:lost] + messages[lost + 1 :]:
+        take(mirror, message)
+    mirror.relayed(7, 0.0)
+    assert mirror._gap
+    # What a deputy or the store tells next is what came after this.
+    assert mirror.copy.complete_revision == 2
+
+
+async def test_messages_of_a_listing_are_taken_in_any_order():
+    """A message that overtook another one left a gap."""
+    rows = [keyvalue.WatchEvent(f"k{n}", b"x" * 900, 4 + n) for n in range(3)]
+    follower = Followed(Store())
+    follower.task.cancel()
+    mirror = follower.mirror
+    mirror._apply([keyvalue.WatchEvent("a", b"v", 2)], 2, "store")
+    for message in reversed(listing_messages(2, *rows)):
+        take(mirror, message)
+    assert mirror.revision == 6
+    assert all(mirror.copy.value(row.key) for row in rows)
+
+
+async def test_lost_history_is_no_outage():
+    """A target that was removed was used for 2 s more on the relay."""
+    store = Store()
+    await put(store, "servers/a")
+    followed = Followed(store)
+    await asyncio.sleep(1.0)
+    store.compact = True
+    await store.transact([], [keyvalue.Delete("servers/a")])
+    await asyncio.sleep(3.0)
+    assert ("servers/a", None) in followed.seen
+    assert set(followed.contacts) == {True}
+    followed.task.cancel()
+
+
+async def test_instance_that_follows_a_deputy_sees_no_outage():
+    """The relay, turned away, used targets that were removed for 7 s.
+
+    The store turned away this instance only; a deputy tells what changes.
+    """
+    store = Store()
+    await put(store, "servers/a")
+    news = storecopy.CopyChanges(9, 0.1, False, (), (("servers/a", 9),))
+    followed = Followed(store, DeputyCopy(news))
+    mirror = followed.mirror
+    mirror.relays = True
+    await asyncio.sleep(1.0)
+    mirror.deputies.change(["10.0.0.2:1"], leads=True)
+    store.available = False
+    followed.contacts.clear()
+    await asyncio.sleep(3.0)
+    assert ("servers/a", None) in followed.seen
+    assert not mirror.reachable
+    assert False not in followed.contacts
+    followed.task.cancel()
--- a/tests/test_storemirror_fleet.py
+++ b/tests/test_storemirror_fleet.py
@@ -132,3 +132,19 @@
     await asyncio.sleep(6.0)
     await fleet.stop()
     assert not fleet.late(2, changed, APPLY_SMALL_FLEET_S)
+
+
+@pytest.mark.parametrize("frozen", [False, True])
+async def test_version_is_in_force_past_a_relay_and_a_deputy_cut_off(frozen):
+    """CONFIG: 3.2 s after a version; the relay's boards still came.
+
+    The relay loses the store, the first deputy as well, or it freezes.
+    """
+    fleet = await running_fleet(near=4, far=3, far_places=1)
+    for instance in fleet.instances:
+        instance.cut = instance.name in ("near-1", "near-2", "far0-1")
+        instance.down = frozen and instance.name in ("near-2", "far0-1")
+    second = await fleet.change(2, SMALL)
+    await asyncio.sleep(6.0)
+    await fleet.stop()
+    assert not fleet.late(2, second, APPLY_SMALL_FLEET_S)
