Complete a copy only with all messages of a full reading

What callers saw: an instance went on sending to a target that had left, until its own process ended.

Cause: a full reading of the store, or of another copy, does not tell when a key went; its removals have the revision of the reading. The relay told the differences in several messages, each of which raised the revision that the receiver claims. An instance that lost the last one, or got it before another, claimed a revision without the removals before it; what it asked for next was what came after. The same happened on the way through a deputy: it had the relay's differences, which lack keys that came and went, and passed them on as all changes since an older revision.

Change: all messages of a full reading carry its revision and their number, and only all of them together raise the receiver's; they may come in any order. A copy with such differences is passed on whole to instances that are behind them.

The test of several messages names the new bounds of each message; what it requires of the copies is the same.

Conclusion: a claimed revision covers all removals before it, whatever is lost.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from carobsail import deputies, members, storemirror, summaries
+from carobsail import deputies, keyvalue, members, storemirror, summaries
 
 # Who the deputies are is told again after this time; followers follow the
 # relay for 1.8 s without hearing from it.
@@ -60,28 +60,20 @@
           after: Revision up to which this instance's copy is complete.
           complete: Whether nothing that came and went in between is left out.
         """
-        base = 0 if complete else before
-        rows: list[summaries.Change] = []
-        size = 0
-        for change in changes:
-            value = change.value
-            omitted = len(value or b"") > MAX_CHANGE_BYTES
-            row = summaries.Change(
-                change.key,
-                None if omitted else value,
-                change.mod_revision,
-                omitted,
-            )
-            length = len(row.key) + len(row.value or b"")
-            # A receiver takes a revision for complete after one message.
-            ended = bool(rows) and rows[-1].revision < row.revision
-            if ended and size + length > MAX_CHANGE_BYTES:
-                self._send(fence, rows, before, rows[-1].revision, base)
-                before, rows, size = rows[-1].revision, [], 0
-            rows.append(row)
-            size += length
-        if rows or after > before:
-            self._send(fence, rows, before, after, base)
+        rows = [_row(change) for change in changes]
+        messages = _split(rows, in_revisions=complete) or [[]]
+        if complete:
+            for told in messages[:-1]:
+                # A receiver takes a revision for complete after one message.
+                self._send(fence, told, before, told[-1].revision)
+                before = told[-1].revision
+            if messages[-1] or after > before:
+                self._send(fence, messages[-1], before, after)
+            return
+        # The removals of a full reading have its revision, whenever they were:
+        # only all messages together complete a copy.
+        for part, told in enumerate(messages):
+            self._send(fence, told, before, after, len(messages), part)
 
     def _send(
         self,
@@ -89,7 +81,8 @@
         rows: list[summaries.Change],
         before: int,
         after: int,
-        base: int,
+        parts: int = 0,
+        part: int = 0,
     ) -> None:
         """Sends changes; one instance of each data centre asks the store."""
         now = asyncio.get_running_loop().time()
@@ -114,7 +107,8 @@
                     if tell_deputies
                     else None,
                     leads=peer is peers[0],
-                    base=base,
+                    parts=parts,
+                    part=part,
                 )
                 self._members.send(message, peer.address)
 
@@ -128,3 +122,33 @@
 
     def _port_of(self, address: str) -> str:
         return f"{address}:{self._operator_port}"
+
+
+def _row(change: keyvalue.WatchEvent) -> summaries.Change:
+    omitted = len(change.value or b"") > MAX_CHANGE_BYTES
+    value = None if omitted else change.value
+    return summaries.Change(change.key, value, change.mod_revision, omitted)
+
+
+def _split(
+    rows: list[summaries.Change], in_revisions: bool
+) -> list[list[summaries.Change]]:
+    """Splits changes into messages.
+
+    Args:
+      rows: The changes.
+      in_revisions: Whether changes of one revision stay in one message.
+    """
+    messages: list[list[summaries.Change]] = []
+    size = 0
+    for row in rows:
+        length = len(row.key) + len(row.value or b"")
+        ended = bool(messages) and not (
+            in_revisions and messages[-1][-1].revision == row.revision
+        )
+        if not messages or (ended and size + length > MAX_CHANGE_BYTES):
+            messages.append([])
+            size = 0
+        messages[-1].append(row)
+        size += length
+    return messages
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -356,7 +356,8 @@
                     message.before,
                     message.after,
                     message.source,
-                    message.base,
+                    message.parts,
+                    message.part,
                 )
         elif isinstance(message, summaries.RenewalRequest):
             self._start(
--- a/carobsail/storecopy.py
+++ b/carobsail/storecopy.py
@@ -184,12 +184,20 @@
         ]
         events += puts(listed.values)
         news = self.apply(events, listed.revision)
-        # A key that came and went since the last change is not among them.
-        self._removed_since = max(self._removed_since, listed.revision)
+        self.forget_removals(listed.revision)
         for key in list(self._missing):
             self.drop_expected(key, listed.revision)
         return news
 
+    def forget_removals(self, revision: int) -> None:
+        """Notes that a full listing is among the changes up to a revision.
+
+        A key that came and went since the change before it was not told. An
+        instance that knows such a key must not take this copy's changes for
+        all that there were.
+        """
+        self._removed_since = max(self._removed_since, revision)
+
     def merge(self, found: CopyChanges) -> list[keyvalue.WatchEvent]:
         """Takes over what another copy has more; returns the news, in order.
 
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -55,6 +55,21 @@
 Changes = list[keyvalue.WatchEvent]
 
 
+@dataclasses.dataclass(slots=True)
+class _Listing:
+    """What is missing of the differences that a full reading showed.
+
+    Attributes:
+      before: Revision of the copy that they build on.
+      after: Revision of the reading.
+      missing: Numbers of the messages that have not come.
+    """
+
+    before: int
+    after: int
+    missing: set[int]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RelayedChange:
     """A change from the relay; the value is left out if `omitted`."""
@@ -81,7 +96,7 @@
         "_client",
         "_followed",
         "_fresh_at",
-        "_listed_to",
+        "_listing",
         "_on_changes",
         "_on_contact",
         "_prefix",
@@ -151,9 +166,7 @@
         # When the relay was last heard; None after the deputy was checked.
         self._heard_at: float | None = None
         self._gap = False
-        # Revision that the relay's last differences between two listings led
-        # to.
-        self._listed_to = 0
+        self._listing = _Listing(0, 0, set())
         self._news = asyncio.Event()
         # Set, and replaced, when the copy moves forward.
         self._told = asyncio.Event()
@@ -396,7 +409,8 @@
         before: int,
         after: int,
         source: str,
-        base: int | None = None,
+        parts: int = 0,
+        part: int = 0,
     ) -> None:
         """Takes over changes from the relay.
 
@@ -406,27 +420,27 @@
           after: Revision up to which it is complete then.
           source: `host:port` of an instance that has the omitted values;
             empty for the store.
-          base: If the relay has read everything anew, the revision before
-            that: what came and went since is not among the changes. 0 if all
-            changes since `before` are; None: `before`.
+          parts: Number of messages if the relay has read everything anew and
+            tells the differences to its copy at `before`: what came and went
+            since is not among them. 0 if these are all changes since then.
+          part: Number of this message among them, from 0.
         """
         if not self.revision:
             return
-        base = before if base is None else base
-        fits = not base or (
-            before == self.revision and before in (base, self._listed_to)
-        )
-        if before > self.revision or not fits:
+        fits = before == self.revision if parts else before <= self.revision
+        if not fits:
             if after > self.revision:
                 self._note_gap(after)
             self._news.set()
         elif after > self.revision:
-            if base:
-                self._listed_to = after
             omitted = [c.event for c in changes if c.omitted]
             for event in omitted:
                 self.copy.expect(event.key, event.mod_revision)
             told = [c.event for c in changes if not c.omitted]
+            if parts and not self._ends_listing(before, after, parts, part):
+                after = 0
+            elif parts:
+                self.copy.forget_removals(after)
             self._apply(told, after, "relay")
             # The first deputy must not wait for the second, which asks it.
             leads = self.deputies.leads
@@ -438,6 +452,20 @@
                     event.key, event.mod_revision, sources, relay
                 )
 
+    def _ends_listing(
+        self, before: int, after: int, parts: int, part: int
+    ) -> bool:
+        """Whether all differences of a full reading have come with a part.
+
+        Removals have the revision of the reading, so a copy that lacks a part
+        would claim a revision without the removals before it.
+        """
+        listing = self._listing
+        if (listing.before, listing.after) != (before, after):
+            listing = self._listing = _Listing(before, after, set(range(parts)))
+        listing.missing.discard(part)
+        return not listing.missing
+
     def _note_gap(self, told: int) -> None:
         """Notes that changes up to a revision were not received."""
         if not self._gap:
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -203,7 +203,7 @@
       fence: Fencing number of the order giver.
       before: Revision before the changes.
       after: Revision after them; between the two nothing else that matters
-        changed.
+        changed, or it is in the other messages of a full reading.
       changes: The changes.
       source: `host:port` of an instance from which omitted values are read;
         empty for the store.
@@ -211,8 +211,10 @@
         follow the store while the order giver is not heard, without the
         receiver itself; None if they are not told with this message.
       leads: Whether the receiver is the first of them.
-      base: Revision of the order giver's copy before it read everything anew,
-        if these changes are differences to it; 0 if none is left out.
+      parts: Number of messages if the order giver has read everything anew and
+        tells the differences to its copy at `before`; 0 if these are all
+        changes since then.
+      part: Number of this message among them, from 0.
     """
 
     fence: int
@@ -222,7 +224,8 @@
     source: str
     deputies: list[str] | None = None
     leads: bool = False
-    base: int = 0
+    parts: int = 0
+    part: int = 0
 
 
 class RenewalRequest(
--- a/tests/builders_mirrors.py
+++ b/tests/builders_mirrors.py
@@ -197,7 +197,8 @@
         message.before,
         message.after,
         message.source,
-        message.base,
+        message.parts,
+        message.part,
     )
 
 
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -272,7 +272,7 @@
     relay._tell(relay.copy.take_all(listed), 2, "store")
     for changes, before, after in told:
         follower.relayed_changes(
-            [RelayedChange(c) for c in changes], before, after, ""
+            [RelayedChange(c) for c in changes], before, after, "", parts=1
         )
     gone = follower.copy.value("servers/b") is None
     assert gone or follower.copy.complete_revision < 9
@@ -312,10 +312,10 @@
 
 @pytest.mark.parametrize("known, complete", [(2, True), (4, False)])
 async def test_listing_in_several_messages_fits_only_its_base(known, complete):
-    """A copy that is at a later message's start had other keys before it."""
+    """A copy that is ahead of the relay's had other keys before it."""
     rows = [keyvalue.WatchEvent(f"k{n}", b"x" * 900, 4 + n) for n in range(3)]
     messages = listing_messages(2, *rows)
-    assert [m.before for m in messages] == [2, 4, 5]
+    assert [(m.before, m.after) for m in messages] == [(2, 6)] * 3
     follower = Followed(Store())
     follower.task.cancel()
     mirror = follower.mirror
@@ -407,3 +407,25 @@
     assert not mirror.reachable
     assert False not in followed.contacts
     followed.task.cancel()
+
+
+async def test_copy_after_a_listing_is_passed_on_whole():
+    """DRAIN: a removal was lost on the way through a deputy.
+
+    The deputy had never known the target; it came and went in the relay's gap.
+    """
+    deputy, ahead = Followed(Store()), Followed(Store())
+    for followed in (deputy, ahead):
+        followed.task.cancel()
+        known = keyvalue.WatchEvent("servers/a", b"v", 2)
+        followed.mirror._apply([known], 2, "store")
+    # The store told it of b at 3, which is gone at 5.
+    came = keyvalue.WatchEvent("servers/b", b"v", 3)
+    ahead.mirror._apply([came], 4, "store")
+    for message in listing_messages(2, keyvalue.WatchEvent("c", b"v", 9)):
+        take(deputy.mirror, message)
+    assert deputy.mirror.revision == 9
+    found = await deputy.mirror.changes_after(4, 0.0)
+    ahead.mirror._take_changes(found, "10.0.0.2:1")
+    assert ahead.mirror.revision == 9
+    assert ("servers/b", None) in ahead.seen
