Keep removed targets in an outage of the store only

What callers saw: requests went to a target that had left without a word, for 2 s or for as long as the store turned this one instance away.

Cause: entries that lapse while the store is away are kept until 2 s after the last failed call. A history that the store had dropped (410) counted as a failed call, though the store had answered, and so did the refusals to one instance that learned of the removal from a deputy in touch with the store. On the sites of seven instances the silence of the watches, the reading and these 2 s exceed the 2.5 s in which the target must get no more work.

Change: a lost history is an answer and is logged as history_lost. A failed call counts as an outage only if no deputy in touch with the store answers either.

Conclusion: what others know of the store goes before an instance's own trouble.

--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -134,7 +134,8 @@
           on_changes: Receives changes in order, and the revisions before and
             after them; after a reading of all keys, those that are gone come
             as deleted.
-          on_contact: Receives whether the store answered, after each call.
+          on_contact: Receives True after each answer of the store, and False
+            if neither it nor a deputy in touch with it answers.
           rng: Source of the jitter.
           peers: Reads the copies of other instances.
         """
@@ -202,18 +203,40 @@
                 if failure is None:
                     self._follow("store")
                     retry_s = valuereader.FIRST_RETRY_S
-                elif failure.reason is errors.Reason.STALE_REVISION:
-                    complete = False
             if failure is None:
                 await self._pause()
                 continue
-            self._contact(False, failure)
-            if complete and self.deputies.leads and await self._ask_deputies():
+            if failure.reason is errors.Reason.STALE_REVISION:
+                # An answer: the store is there, only the changes are not.
+                complete = False
+                telemetry.log(_log, "history_lost", revision=self.revision)
+            elif await self._lost_store(failure, complete):
                 await self._pause()
                 continue
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
             retry_s = min(valuereader.MAX_RETRY_S, retry_s * 2.0)
 
+    async def _lost_store(self, failure: errors.Failure, ask: bool) -> bool:
+        """Notes a failed call; tells whether a deputy helps instead.
+
+        Load pattern: the store turns away the order giver alone. Targets that
+        leave without a word must go from its list, as the deputies tell it,
+        while in an outage of the store entries lapse that are to be kept.
+        """
+        if self.reachable:
+            telemetry.log(
+                _log,
+                "store_lost",
+                revision=self.revision,
+                reason=str(failure.reason),
+                detail=failure.detail,
+            )
+        self.reachable = False
+        if ask and self.deputies.leads and await self._ask_deputies():
+            return True
+        self._on_contact(False)
+        return False
+
     async def _pause(self) -> None:
         """Lets changes gather, unless the relay is heard meanwhile."""
         pause_s = RELAY_PAUSE_S if self.relays else PAUSE_S
@@ -373,7 +396,7 @@
         if isinstance(events, errors.Failure):
             return events
         self._gap = False
-        self._contact(True)
+        self._contact()
         self._fresh_at = self.contact_at
         if events:
             revision = max(e.mod_revision for e in events)
@@ -486,7 +509,7 @@
             if isinstance(read, errors.Failure):
                 return read
             result = read
-            self._contact(True)
+            self._contact()
             self._fresh_at = self.contact_at
         if result.revision < self.revision:
             return errors.Failure(
@@ -582,18 +605,10 @@
         if not self.revision:
             self._apply(storecopy.puts(values), 0, address)
 
-    def _contact(
-        self, reachable: bool, failure: errors.Failure | None = None
-    ) -> None:
-        if reachable != self.reachable:
-            telemetry.log(
-                _log,
-                "store_regained" if reachable else "store_lost",
-                revision=self.revision,
-                reason=str(failure.reason) if failure else "",
-                detail=failure.detail if failure else "",
-            )
-        self.reachable = reachable
-        if reachable:
-            self.contact_at = asyncio.get_running_loop().time()
-        self._on_contact(reachable)
+    def _contact(self) -> None:
+        """Notes that the store answered."""
+        if not self.reachable:
+            telemetry.log(_log, "store_regained", revision=self.revision)
+        self.reachable = True
+        self.contact_at = asyncio.get_running_loop().time()
+        self._on_contact(True)
