Ask both deputies when the relay has lost the store

What callers saw: for up to 3.2 s, where 2.5 s are allowed, requests were answered by an older version or sent to a target that was leaving.

Cause: silences were waited for one after the other. A relay that is heard but has lost the store was no reason to check the deputies; a deputy that had lost the store as well answered after 0.5 s, a frozen one cost 1.1 s, the second deputy itself waited for the first, and a deputy's first call of the store could wait 3 s for its failure.

Change: the age that the relay's boards tell raises doubt as its silence does; both deputies ask the store, beginning with a call that does not wait; other instances ask the second deputy 0.2 s after the first.

Conclusion: relay, one deputy and frozen others no longer add up; relay, both deputies and a lost history together still do.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -106,7 +106,7 @@
                     ]
                     if tell_deputies
                     else None,
-                    leads=peer is peers[0],
+                    leads=peer in peers[: deputies.COUNT],
                     parts=parts,
                     part=part,
                 )
--- a/carobsail/deputies.py
+++ b/carobsail/deputies.py
@@ -1,18 +1,16 @@
 """Which instances follow the store for a data centre without the relay.
 
-The first deputy asks the store; the second asks the first, and all others ask
-either. A deputy that does not answer, or has lost the store, is left alone for
-a while.
+The deputies ask the store; all others ask one of them. A deputy that does not
+answer, or has lost the store, is left alone for a while.
 """
 
 import random
 
 # Deputies of a data centre. Two, because the first may be lost with the relay.
 COUNT = 2
-# The second one, which asks the first, waits that much longer for the relay.
-SECOND_PATIENCE_S = 0.1
-# All others wait up to that much longer, so that the deputies are asked when
-# they have an answer, and not by all at once.
+# All others wait that much longer for the relay, so that the deputies are asked
+# when they have an answer, and not by all at once.
+MIN_PATIENCE_S = 0.1
 MAX_PATIENCE_S = 0.3
 RETRY_S = 3.0
 
@@ -22,8 +20,8 @@
 
     Attributes:
       addresses: `host:port` of the deputies without this instance.
-      leads: Whether this instance asks the store before the deputies: the
-        first deputy, the relay, and an instance that knows no deputies yet.
+      leads: Whether this instance asks the store before the deputies: a
+        deputy, the relay, and an instance that knows no deputies yet.
       patience_s: Seconds that this instance waits longer for the relay.
     """
 
@@ -46,12 +44,8 @@
         self.leads = leads
         if leads:
             self.patience_s = 0.0
-        elif len(addresses) < COUNT:
-            self.patience_s = SECOND_PATIENCE_S
         else:
-            self.patience_s = self._rng.uniform(
-                SECOND_PATIENCE_S, MAX_PATIENCE_S
-            )
+            self.patience_s = self._rng.uniform(MIN_PATIENCE_S, MAX_PATIENCE_S)
         if tuple(addresses) != self.addresses:
             self.addresses = tuple(addresses)
             self._avoided_until.clear()
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -7,7 +7,7 @@
 calls would grow with instances times changes. An instance that has not heard
 from a relay in touch with the store within `RELAY_VALID_S`, or that missed a
 change, asks a deputy: the first or second instance of its data centre. Only
-the first deputy, and an instance that no deputy answers, asks the store: a
+the deputies, and an instance that no deputy answers, ask the store: a
 change of the configuration would otherwise go to each instance over the link
 between regions.
 """
@@ -41,12 +41,21 @@
 # this time are read together, far below the 2.5 s in which they must be known.
 PAUSE_S = 0.6
 RELAY_PAUSE_S = 0.25
+# The first call after the relay was given up shows soon whether the store
+# answers.
+FIRST_WAIT_S = 0.05
 # Boards come every 0.5 s. After this silence of the relay an instance finds out
 # whether its deputy answers, to lose no time if both are lost.
 RELAY_DOUBT_S = 0.7
-# A deputy that knows nothing new answers after this time. It bounds how long a
-# frozen deputy delays what the store tells.
+# The same if the relay is heard and has not heard from the store. Its calls are
+# 0.75 s apart, and the next board may be on its way.
+RELAY_STALE_S = 1.3
+# A deputy that knows nothing new answers after this time; until then it may
+# still read a large value, 550 KB in each data centre, from the store.
 DEPUTY_WAIT_S = 0.5
+# The other deputy is asked as well after this time: one that has lost the
+# store, or is frozen, must not delay what the other one knows.
+OTHER_DEPUTY_S = 0.2
 # A deputy whose copy is older than this has lost the store as well.
 DEPUTY_AGE_S = 1.5
 
@@ -102,7 +111,7 @@
         "_prefix",
         "_rng",
         "_gap",
-        "_heard_at",
+        "_doubt_at",
         "_news",
         "_peers",
         "_relayed_until",
@@ -164,8 +173,8 @@
         # From where the last changes came, for the log.
         self._followed = ""
         self._relayed_until = float("-inf")
-        # When the relay was last heard; None after the deputy was checked.
-        self._heard_at: float | None = None
+        # When the deputy is to be checked; None after that was done.
+        self._doubt_at: float | None = None
         self._gap = False
         self._listing = _Listing(0, 0, set())
         self._news = asyncio.Event()
@@ -267,13 +276,29 @@
         with 1,400 added routes changes. 33 instances that read it from the
         store had it 18 s later.
         """
-        loop = asyncio.get_running_loop()
-        for address in self.deputies.addresses:
-            if not self.deputies.askable(address, loop.time()):
-                continue
-            if await self._ask_deputy(address):
-                return True
-            self.deputies.failed(address, loop.time())
+        now = asyncio.get_running_loop().time()
+        left = [
+            address
+            for address in self.deputies.addresses
+            if self.deputies.askable(address, now)
+        ]
+        asked: set[asyncio.Task[bool]] = set()
+        try:
+            while left or asked:
+                if left:
+                    call = self._ask_deputy(left.pop(0))
+                    asked.add(asyncio.create_task(call))
+                done, asked = await asyncio.wait(
+                    asked,
+                    timeout=OTHER_DEPUTY_S if left else None,
+                    return_when="FIRST_COMPLETED",
+                )
+                if any([task.result() for task in done]):
+                    return True
+        finally:
+            for task in asked:
+                task.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
         return False
 
     async def _check_deputy(self) -> None:
@@ -282,11 +307,10 @@
         Load pattern: the relay and the first deputy freeze just before a
         version. Waiting for one after the other, the rest had it after 3 s.
         """
-        loop = asyncio.get_running_loop()
+        now = asyncio.get_running_loop().time()
         for address in self.deputies.addresses:
-            if self.deputies.askable(address, loop.time()):
-                if await self._read_deputy(address, 0.0) is None:
-                    self.deputies.failed(address, loop.time())
+            if self.deputies.askable(address, now):
+                await self._read_deputy(address, 0.0)
                 return
 
     async def _read_deputy(
@@ -297,6 +321,8 @@
             address, self.copy.complete_revision, wait_s
         )
         if isinstance(found, errors.Failure):
+            now = asyncio.get_running_loop().time()
+            self.deputies.failed(address, now)
             telemetry.log(
                 _log,
                 "deputy_not_read",
@@ -309,10 +335,13 @@
         return found
 
     async def _ask_deputy(self, address: str) -> bool:
+        """Asks one deputy for changes; tells whether it is in touch."""
         found = await self._read_deputy(address, DEPUTY_WAIT_S)
         if found is None:
             return False
+        now = asyncio.get_running_loop().time()
         if found.age_s > DEPUTY_AGE_S:
+            self.deputies.failed(address, now)
             telemetry.log(
                 _log,
                 "deputy_behind",
@@ -377,13 +406,13 @@
         """Waits while the relay tells what changes."""
         self._news.clear()
         until = self._relayed_until
-        if self._heard_at is not None:
-            until = min(until, self._heard_at + RELAY_DOUBT_S)
+        if self._doubt_at is not None:
+            until = min(until, self._doubt_at)
         try:
             async with asyncio.timeout_at(until):
                 await self._news.wait()
         except TimeoutError:
-            doubted, self._heard_at = self._heard_at is not None, None
+            doubted, self._doubt_at = self._doubt_at is not None, None
             if until == self._relayed_until:
                 # A timer may be a little early.
                 self._relayed_until = float("-inf")
@@ -392,6 +421,8 @@
 
     async def _ask_changes(self) -> errors.Failure | None:
         wait_s = RELAY_WAIT_S if self.relays else WAIT_S
+        if self._followed != "store":
+            wait_s = FIRST_WAIT_S
         events = await self._client.changes(self._prefix, self.revision, wait_s)
         if isinstance(events, errors.Failure):
             return events
@@ -411,7 +442,7 @@
           age_s: Seconds since the store last answered the relay.
         """
         now = asyncio.get_running_loop().time()
-        self._heard_at = now
+        self._doubt_at = now + min(RELAY_DOUBT_S, RELAY_STALE_S - age_s)
         self._relayed_until = (
             now - age_s + RELAY_VALID_S + self.deputies.patience_s
         )
@@ -465,7 +496,7 @@
             elif parts:
                 self.copy.forget_removals(after)
             self._apply(told, after, "relay")
-            # The first deputy must not wait for the second, which asks it.
+            # The deputies must not wait for each other.
             leads = self.deputies.leads
             others = () if leads else self.deputies.addresses
             sources = dict.fromkeys(p for p in (source, *others) if p)
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -210,7 +210,7 @@
       deputies: `host:port` of the instances of the receiver's data centre that
         follow the store while the order giver is not heard, without the
         receiver itself; None if they are not told with this message.
-      leads: Whether the receiver is the first of them.
+      leads: Whether the receiver is one of them.
       parts: Number of messages if the order giver has read everything anew and
         tells the differences to its copy at `before`; 0 if these are all
         changes since then.
