Let half of the soak's targets leave without a report

Cause: the platform's targets sometimes leave without saying so: their entry is removed, and they serve on for a while. No run of the soak had that, so its check of leaving targets could not see that an instance keeps such a target.

Change: half of the planned replacements remove the entry at once.

Figures: the new test fails before (leave takes no such argument).

Conclusion: both ways of leaving are disturbed and checked.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -104,14 +104,24 @@
         if not self.alive or self.identity != identity:
             asyncio.ensure_future(self._store.delete_entry(identity))
 
-    async def leave(self) -> None:
-        """Reports that it drains, serves on for a while and ends."""
+    async def leave(self, reported: bool = True) -> None:
+        """Serves on for a while and ends.
+
+        Args:
+          reported: Whether it reports that it drains. Otherwise its entry is
+            removed at once, which is all that the instances learn.
+        """
         if not self.alive or self._leaving:
             return
         self._leaving = True
         identity = self.identity
         await polling.until(lambda: not self._store.down)
-        await self._write_entry()
+        if reported:
+            await self._write_entry()
+        else:
+            if self._beat is not None:
+                self._beat.cancel()
+            await self._store.delete_entry(identity)
         self._record.leaving[identity] = asyncio.get_running_loop().time()
         await asyncio.sleep(LINGER_S)
         if self.identity == identity:
--- a/soak/world.py
+++ b/soak/world.py
@@ -550,9 +550,9 @@
 
 @act
 async def drain_target(world: World, step: Step) -> None:
-    """Replaces a target as an operator does."""
+    """Replaces a target as an operator does; half leave without a report."""
     target = world.target_of(step)
-    await target.leave()
+    await target.leave(reported=step.how < 0.5)
     if not target.alive:
         await target.start()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,11 @@
 import asyncio
 import dataclasses
 import pathlib
+import random
 
 import pytest
 
-from soak import checks, configurations, schedule
+from soak import checks, configurations, schedule, storestandin, targets
 from soak.__main__ import play
 from soak.records import (
     HOST,
@@ -314,3 +315,21 @@
         assert violations == []
         served = [a for a in seen.asked.values() if a.status == 200]
         assert len(served) > len(seen.asked) / 2 > 50
+
+
+@pytest.mark.memory_network
+async def test_target_leaves_without_a_report():
+    """No run had a target whose entry goes while it still serves (DRAIN)."""
+    store, seen = storestandin.StoreStandin(), Record()
+    target = targets.Target(
+        "plain-0", "plain", "dc-a", store, seen, random.Random(1)
+    )
+    await target.start()
+    await asyncio.sleep(targets.HEARTBEAT_S)
+    assert (await store.data.range("servers/")).values
+    leaving = asyncio.create_task(target.leave(reported=False))
+    await asyncio.sleep(2 * targets.HEARTBEAT_S)
+    assert not (await store.data.range("servers/")).values
+    assert target.alive and target.identity in seen.leaving
+    await leaving
+    assert not target.alive
