Take a send by a version as a sign that the version is known

Change: a request that was sent by a version counts, if the version's own line is missing. No instance runs this code.

--- a/carobsail/changespread.py
+++ b/carobsail/changespread.py
@@ -90,6 +90,10 @@
         running[line.source] = (start, line.at)
         if line.event == "request_sent":
             sends[line.fields.get("target", "")].append(line)
+            # Shows that a version is known if its own line was dropped.
+            version = changes.get(_version(line, "table_version"))
+            if version is not None:
+                version.known.setdefault(line.source, line)
         name = _change(line)
         if name:
             spread = changes.setdefault(name, Spread(name))
@@ -103,8 +107,12 @@
 def _change(line: LogLine) -> str:
     """Returns the name of the change that a line tells of; empty if none."""
     if line.event == "configuration_in_force":
-        return f"version {line.fields.get('version', '')}"
+        return _version(line, "version")
     leaves = line.event == "target_listed" and line.fields.get("leaving")
     if line.event == "target_gone" or leaves == "true":
         return f"target {line.fields.get('target', '')}"
     return ""
+
+
+def _version(line: LogLine, field: str) -> str:
+    return f"version {line.fields.get(field, '')}"
--- a/tests/test_changespread.py
+++ b/tests/test_changespread.py
@@ -41,6 +41,17 @@
     assert "q2" in rows[4] and len(rows) == 5
 
 
+def test_instance_whose_line_was_dropped_is_not_named():
+    """Instances that sent by a version were said not to know it."""
+    late = "n4 time=2026-03-01T10:00:06.000Z level=info event=request_sent"
+    start = "n4 time=2026-03-01T10:00:00.000Z level=info event=started"
+    end = "n4 time=2026-03-01T10:00:09.000Z level=info event=started_x"
+    known = loglines.read([start, f"{late} table_version=7", end])
+    assert "not known to" not in describe([*LOG[:6], *known])[-1]
+    unknown = loglines.read([start, f"{late} table_version=6", end])
+    assert "not known to: n4" in describe([*LOG[:6], *unknown])[-1]
+
+
 def test_command(tmp_path: pathlib.Path, capsys):
     """On-call compared the logs of all instances by hand."""
     file = tmp_path / "all.log"
