--- a/tests/builders_faults.py
+++ b/tests/builders_faults.py
@@ -136,7 +136,7 @@
             if kind == "relay":
                 some = [self._fleet.relay]
             elif kind == "firsts":
-                # Alone, near-1 relays and near-2 is the first deputy.
+                # The relay is near-1, so near-2 is the first deputy there.
                 some = [i for i in instances if i.name.endswith("-1")]
                 some.append(instances[1])
             elif kind == "many":
