Close the connections to targets when a program ends

A program that stopped left the idle connections of its target clients open. Python 3.11.6 closes a stream writer when it is collected, which raises "Event loop is closed" after the loop has ended, and the error was printed on standard error between the log lines.

Instances now close their clients of targets, in both programs, and the platform program also those for orders to engines.

tests/test_processes.py::test_signals on arm64, Python 3.11.6: failed with a log line that is no key=value line; passes with the change.

--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -97,6 +97,9 @@
         """See base class."""
         return ownedtargets.EngineTargetClient(self.engine(target))
 
+    def close(self) -> None:
+        """See base class; in-memory clients have no connections."""
+
 
 class Centre(build.SimulatedDataCentre):
     """A data centre of real entry instances and controllers."""
--- a/carobsail/entryinstance.py
+++ b/carobsail/entryinstance.py
@@ -117,6 +117,7 @@
         await self._peer_set.close()
         for link in list(self._open_links):
             await link.close()
+        self._dependencies.clients.close()
 
     async def on_link(self, link: links.Link) -> None:
         """Serves an accepted or opened link until it closes."""
--- a/carobsail/platform/__main__.py
+++ b/carobsail/platform/__main__.py
@@ -29,12 +29,13 @@
         loaded.log_level, logsink.LogSink(sys.stdout.fileno())
     )
     client = store.PlatformStore(loaded.store)
+    order_client = engines.HttpEngineOrderClient()
     instance = servinginstance.ServingInstance(
         loaded,
         client,
         headers.PlatformHeaders(),
         documents.PlatformDocuments(),
-        engines.HttpEngineOrderClient(),
+        order_client,
         _boot_clock,
         random.Random(),
     )
@@ -45,6 +46,7 @@
     await stop_signals.wait(instance.failed)
     telemetry.log(log, "stopping", instance=loaded.instance)
     await stop_signals.stop(instance.stop, instance.kill, log)
+    order_client.close()
     client.close()
     telemetry.log(log, "stopped", instance=loaded.instance)
     for handler in log.handlers:
--- a/carobsail/platform/engines.py
+++ b/carobsail/platform/engines.py
@@ -31,6 +31,11 @@
     def __init__(self) -> None:
         self._pools: dict[tuple[str, str], httpclient.ConnectionPool] = {}
 
+    def close(self) -> None:
+        """Closes idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+
     async def order(
         self,
         identity: str,
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -202,6 +202,10 @@
         for budget in self._budgets.values():
             budget.change(settings.ratio, settings.allowance, settings.window_s)
 
+    def close(self) -> None:
+        """Closes the idle connections to targets."""
+        self._pools.close()
+
     def engine_services(self) -> list[str]:
         """Returns the names of the services whose targets are engines."""
         services = self.route_table.services if self.route_table else {}
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -376,6 +376,7 @@
         aborted = await self._callers.close() if self._callers else 0
         for server in self._servers:
             await server.close()
+        self._request_handler.close()
         return aborted
 
 
--- a/carobsail/targetclients.py
+++ b/carobsail/targetclients.py
@@ -23,6 +23,10 @@
     def client_of(self, target: inventory.Target) -> targetrelay.TargetClient:
         """Returns the client that sends requests to an engine or service."""
 
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Closes the idle connections of all clients."""
+
 
 class HttpTargetClients(TargetClients):
     """Clients over HTTP."""
@@ -51,3 +55,10 @@
         return ownedtargets.ServiceTargetClient(
             self._services[key], target.name
         )
+
+    def close(self) -> None:
+        """See base class."""
+        for engine in self._engines.values():
+            engine.close()
+        for service in self._services.values():
+            service.close()
--- a/carobsail/targetpools.py
+++ b/carobsail/targetpools.py
@@ -39,6 +39,10 @@
         for key in [k for k in self._pools if k[0] not in identities]:
             self._pools.pop(key).close()
 
+    def close(self) -> None:
+        """Closes all pools."""
+        self.close_others(set())
+
     def connections_opened(self) -> int:
         """Returns the number of connections opened by the current pools."""
         return sum(pool.connections_opened for pool in self._pools.values())
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -60,6 +60,9 @@
         engine = target.kind is inventory.Kind.ENGINE
         return ownedtargets.EngineTargetClient(fake) if engine else fake
 
+    def close(self):
+        pass  # The fakes have no connections.
+
 
 class Cluster:
     """Instances, targets, the key-value service and callers."""
