Abort the connections of a test before its event loop is closed

`make test` ended in tests/test_serving.py with INTERNALERROR on Python 3.11.6, and tests/test_knownred.py::test_collection_error_is_red_and_shown failed before that. Cause: stream writers of earlier tests were collected after their loops had ended and raised. Pytest's hook for unraisable exceptions formats the traceback, for which Python 3.11 calls ast.parse; if the collection happens while another traceback is being parsed, the outer ast.parse fails with "AST constructor recursion depth mismatch".

The loops of the tests now abort the transports that are still open when they are closed. test_eventloops fails without that: the writers are not closing, and the collector reports two errors.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,8 @@
 """Configures event loops, seeds of property tests and known failures."""
 
-import asyncio
 import os
 
-import async_solipsism
+import eventloops
 import hypothesis
 import knownred
 
@@ -26,5 +25,5 @@
     """Gives marked tests a loop without sockets, others the default."""
     del config  # Unused.
     if item.get_closest_marker("memory_network"):
-        return {"memory_network": async_solipsism.EventLoop}
-    return {"default": asyncio.new_event_loop}
+        return {"memory_network": eventloops.MemoryLoop}
+    return {"default": eventloops.SocketLoop}
