--- a/tests/test_eventloops.py
+++ b/tests/test_eventloops.py
@@ -18,14 +18,17 @@
     writers = []
 
     async def leave_connections_open():
-        listener = await asyncio.start_server(
-            lambda _, writer: writers.append(writer), "127.0.0.1", 0
-        )
+        accepted = asyncio.Event()
+
+        def accept(_, writer):
+            writers.append(writer)
+            accepted.set()
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writers.append(writer)
-        while len(writers) < 2:
-            await asyncio.sleep(0)
+        await accepted.wait()
 
     loop = make_loop()
     loop.run_until_complete(leave_connections_open())
