Log what a failed send had received, and the parts of its prompt

Logs could not tell what the requests at a lost engine had in common, nor which of them the engine had begun to answer. send_failed now has after_s, head_received, first_event_s and prompt_parts. It is written for failed sends only, so the volume stays bounded.

--- a/carobsail/calls.py
+++ b/carobsail/calls.py
@@ -36,6 +36,7 @@
         the last send, with the cost of the network link; see `Send.cost_s`.
       late: Whether the last send was queued behind requests that can meet
         their objective.
+      head_received: Whether the target of the last send has begun to respond.
       first_event_s: Measured seconds to the first event of the last send.
       sent_at: When it was last sent.
       last_event_at: When the last event was written to the caller.
@@ -61,6 +62,7 @@
     forecast: targetchoice.Forecast | None = None
     predicted_s: float = 0.0
     late: bool = False
+    head_received: bool = False
     first_event_s: float | None = None
     sent_at: float = 0.0
     last_event_at: float = 0.0
--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -93,6 +93,7 @@
             return pool.failure(
                 errors.Reason.CONNECTION_LOST, "answers to other requests"
             )
+        call.head_received = True
         if response_metadata.load is not None:
             target.reported_running, target.reported_waiting, _ = (
                 response_metadata.load
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -457,6 +457,12 @@
                 outcome=str(call.failure.outcome),
                 detail=call.failure.detail,
                 left_s=left_s,
+                after_s=loop.time() - call.sent_at,
+                head_received=call.head_received,
+                first_event_s=call.first_event_s,
+                prompt_parts=",".join(
+                    name for name, _ in call.metadata.prompt_parts
+                ),
                 next=str(action),
             )
             if action in (
@@ -634,6 +640,7 @@
         progress = call.progress
         progress.sends += 1
         call.sent_at = loop.time()
+        call.head_received = False
         call.first_event_s = None
         call.targets.append(target.entry.identity)
         if call.requirements.adapter:
