Trust a refusal without an identifier on a new connection only

An engine may write an earlier refusal once more on a kept connection. A refusal that states the earlier request is skipped, as a test shows. One without an identifier was taken for the present request, which the engine may be running: its caller was told 'not executed' (503), and the request was sent to another engine. On a connection that served other requests such a refusal now leaves the outcome open (502).

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -89,6 +89,7 @@
     __slots__ = (
         "body",
         "consumed_bytes",
+        "exchanges",
         "idle_since",
         "h11_connection",
         "reader",
@@ -105,6 +106,7 @@
         )
         self.body = responsebody.ResponseBody(self.h11_connection)
         self.consumed_bytes = 0
+        self.exchanges = 0
         self.idle_since = 0.0
 
     async def next_event(self) -> object:
@@ -187,9 +189,10 @@
     Attributes:
       status: HTTP status.
       headers: Headers in order, names in lower case.
+      follows_another: Whether its connection served other requests before.
     """
 
-    __slots__ = ("_connection", "_pool", "headers", "status")
+    __slots__ = ("_connection", "_pool", "follows_another", "headers", "status")
 
     def __init__(
         self,
@@ -201,6 +204,7 @@
         self.headers = [
             (k.decode(), v.decode("latin-1")) for k, v in head.headers
         ]
+        self.follows_another = connection.exchanges > 1
         self._pool = pool
         self._connection: _Connection | None = connection
 
@@ -573,6 +577,7 @@
                 errors.Outcome.NOT_RUN,
                 errors.Step.SEND,
             )
+        connection.exchanges += 1
         # Does not wait for the write to drain: the whole request is in memory
         # already, and the response may come before the server has read it all.
         connection.writer.write(parts)
--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -109,6 +109,13 @@
             )
             target.reported_at = asyncio.get_running_loop().time()
         if response_metadata.not_executed:
+            if not response_metadata.request_id and response.follows_another:
+                # An earlier refusal may have been written once more.
+                await response.close()
+                return pool.failure(
+                    errors.Reason.TARGET_REFUSED,
+                    "a refusal without an identifier on a kept connection",
+                )
             body = await response.read_refusal_body(MAX_REFUSAL_BYTES)
             detail = f"status {response.status}"
             if body:
