Treat a stream that ends within an event as broken off

The bytes after the last complete event were written to the caller and the stream was finished as complete, with framing or without. A stream without any event, whose engine ended right after the head and whose body only the end of the connection delimits, became an empty 200.

Both are now lost answers: they are resumed or sent again where that is allowed, and otherwise the caller sees an incomplete body, or 502 if nothing was delivered. A resumed stream may still have no further event.

--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -164,7 +164,12 @@
         response: httpclient.Response,
         load: targetpools.TargetLoad,
     ) -> errors.Failure | None:
-        """Relays complete events as they arrive."""
+        """Relays complete events as they arrive.
+
+        A stream that ends within an event has been broken off, also if its body
+        is framed as complete or ends with its connection. So has one without
+        any event, unless it was to continue after an event.
+        """
         progress = call.progress
         call.cursor.discard_partial()
         async for chunk in response.chunks():
@@ -201,12 +206,17 @@
             await call.responder.write(events)
             progress.last_event = call.cursor.last_event()
             call.record_delivered_event(asyncio.get_running_loop().time())
+        if call.cursor.take_partial():
+            return pool.failure(
+                errors.Reason.ANSWER_CUT, "the stream ended within an event"
+            )
+        if not progress.last_event and not progress.head_delivered:
+            return pool.failure(
+                errors.Reason.ANSWER_CUT, "the stream ended before an event"
+            )
         if not progress.head_delivered:
             await call.responder.start(
                 response.status, self._header_codec.caller_headers(response)
             )
-        rest = call.cursor.take_partial()
-        if rest:
-            await call.responder.write(rest)
         await call.responder.finish()
         return None
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -164,6 +164,35 @@
     assert received == chunk(event(1))
 
 
+@pytest.mark.parametrize("keeps_framing", [True, False])
+async def test_stream_that_ends_within_an_event_is_resumed(keeps_framing):
+    """Its bytes were passed on and the stream ended as complete."""
+    part = event(1) + b"id: 2\nda"
+    broken = STREAM + chunk(part) + END if keeps_framing else UNFRAMED + part
+    first = await closing(broken)
+    second = await start(STREAM + chunk(event(2)) + END)
+    received = body(await ask(streams(first, second)))
+    assert received == chunk(event(1)) + chunk(event(2)) + END
+
+
+@pytest.mark.parametrize("keeps_framing", [True, False])
+async def test_stream_that_ends_within_an_event_is_not_complete(keeps_framing):
+    """A stream that cannot be resumed ends without its last chunk."""
+    part = event(1) + b"id: 2\nda"
+    broken = STREAM + chunk(part) + END if keeps_framing else UNFRAMED + part
+    handler = streams(await closing(broken), resumable=False, max_targets=1)
+    assert body(await ask(handler)) == chunk(event(1))
+
+
+async def test_stream_without_an_event_is_not_complete():
+    """An engine ended after the head; the caller got an empty stream."""
+    second = await start(STREAM + chunk(event(1)) + END)
+    received = await ask(streams(await closing(UNFRAMED), second))
+    assert body(received) == chunk(event(1)) + END
+    alone = streams(await closing(UNFRAMED), resumable=False, max_targets=1)
+    assert status(await ask(alone)) == 502
+
+
 HEAD = (
     b"HTTP/1.1 200 OK\r\nCarobsail-Request-Id: q1\r\n"
     + SEAL
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -502,7 +502,7 @@
 
 async def test_request_waits_for_its_model_to_be_loaded():
     """A request for an absent model waits while a load is expected."""
-    target = await Target(OK).start()
+    target = await Target(HEAD + chunk(event(1)) + b"0\r\n\r\n").start()
     handler = request_path(
         route_table(stream_route()), target.engine(models=())
     )
