Reset connections that are broken off

`transport.abort()` closes a socket in an orderly way unless received data is unread. An HTTP/1.0 caller, whose body ends with its connection, took half a response for a whole one, also when an instance was stopped by force, and a target on a congested link worked on for a caller that had left until all unsent data had arrived. Such connections now get SO_LINGER with 0 s before they are aborted. A connection whose response was read whole is closed in an orderly way.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -9,13 +9,12 @@
 
 import asyncio
 import functools
-import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
 
-from carobsail import errors, responsebody
+from carobsail import errors, responsebody, sockets
 
 _READ_BYTES = 65_536
 # Limit on the interim (1xx) responses before a final one. A server that works
@@ -29,31 +28,6 @@
 _REFUSAL_BODY_TIMEOUT_S = 0.2
 
 
-# TCP options that detect a peer that lost power or cannot be reached, within
-# about 3 s.
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
-_TCP_USER_TIMEOUT_MS = 3000
-
-
-def _set_keepalive(transport: asyncio.BaseTransport) -> None:
-    """Makes the kernel close a connection whose peer does not respond."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        ("TCP_KEEPIDLE", _KEEPALIVE_IDLE_S),
-        ("TCP_KEEPINTVL", _KEEPALIVE_INTERVAL_S),
-        ("TCP_KEEPCNT", _KEEPALIVE_PROBES),
-        ("TCP_USER_TIMEOUT", _TCP_USER_TIMEOUT_MS),
-    ):
-        if hasattr(socket, option):
-            sock.setsockopt(tcp, getattr(socket, option), value)
-
-
 class _CountingReader(asyncio.StreamReader):
     """Stream reader that counts bytes, to detect unsolicited ones.
 
@@ -482,7 +456,7 @@
                 errors.Outcome.NOT_RUN,
                 errors.Step.CONNECT,
             )
-        _set_keepalive(transport)
+        sockets.set_keepalive(transport)
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return _Connection(reader, writer)
 
@@ -601,7 +575,8 @@
             and connection.is_reusable()
         )
         if not reusable:
-            self.discard(connection)
+            connection.writer.close()
+            self._request_slots.release()
             return
         h11_connection.start_next_cycle()
         connection.idle_since = asyncio.get_running_loop().time()
@@ -627,7 +602,7 @@
         On a congested link an orderly close would reach the server only after
         all bytes still unsent, and the server would keep working until then.
         """
-        connection.writer.transport.abort()
+        sockets.reset(connection.writer.transport)
         self._request_slots.release()
 
     def close(self) -> None:
--- a/carobsail/httpconnection.py
+++ b/carobsail/httpconnection.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from carobsail import errors
+from carobsail import errors, sockets
 from carobsail.refusals import RefusalError
 
 _READ_BYTES = 65_536
@@ -250,7 +250,7 @@
         if self.h11_connection.their_http_version == b"1.0":
             # For an HTTP/1.0 client an orderly close ends the body; only a
             # reset shows that it is incomplete.
-            self._writer.transport.abort()
+            sockets.reset(self._writer.transport)
         else:
             self._writer.close()
 
@@ -483,6 +483,8 @@
 
     def kill(self) -> bool:
         """Aborts the connection; returns whether a request was in flight."""
+        if not self.idle:
+            self.abort()
         self._mark_disconnected()
         self._writer.transport.abort()
         return not self.idle
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,12 @@
 """Configures event loops, seeds of property tests and known failures."""
 
+import gc
 import os
 
 import eventloops
 import hypothesis
 import knownred
+import pytest
 
 # In CI the result must be reproducible; local runs use random seeds.
 hypothesis.settings.register_profile("ci", derandomize=True, deadline=None)
@@ -21,6 +23,22 @@
     knownred.register(config)
 
 
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport(item, call):
+    """Collects no garbage while a failure is rendered.
+
+    Rendering parses source code. If an object that is collected meanwhile
+    raises, its error is rendered within, and Python 3.11 ends the run with
+    "AST constructor recursion depth mismatch".
+    """
+    del item, call  # Unused.
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 def pytest_asyncio_loop_factories(config, item):
     """Gives marked tests a loop without sockets, others the default."""
     del config  # Unused.
--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -352,3 +352,21 @@
     result.stdout.fnmatch_lines([name])
     listed = list_entries("test_a.py::test_small_numbers[1]", name)
     assert run(listed, tests).ret == pytest.ExitCode.TESTS_FAILED
+
+
+def test_no_garbage_is_collected_while_a_failure_is_rendered(run):
+    """An error of a collected object ended the run with an internal error."""
+    tests = """
+        import gc
+
+        class Shown:
+            def __repr__(self):
+                return f"collecting={gc.isenabled()}"
+
+        def test_fails():
+            shown = Shown()
+            assert False
+    """
+    result = run(None, tests, "--showlocals")
+    result.stdout.fnmatch_lines(["shown *= collecting=False"])
+    result.assert_outcomes(failed=1)
