Examine a lost target only for requests that it had begun or lost before

After each crash every instance opened connections to the lost target for the requests that had only waited there, and told the others of up to 12 of them for 10 s. A waiting request is weak evidence that needs two more crashes, so its first loss is now recorded without a connection, and four such entries go into a message. The target's backoff starts before it is examined.

--- a/carobsail/crashes.py
+++ b/carobsail/crashes.py
@@ -53,6 +53,7 @@
 MAX_OBSERVATIONS = 64
 MAX_ANSWERED = 8192
 MAX_REPORTED = 12
+MAX_REPORTED_WAITING = 4
 MAX_REPORTED_ANSWERED = 48
 # Parts of a prompt that are examined.
 MAX_PARTS = 16
@@ -206,7 +207,7 @@
             self._judge(now)
         known_to_sender = {row.trait for row in answered}
         contributes = False
-        for report in crashes[:MAX_REPORTED]:
+        for report in crashes[: MAX_REPORTED + MAX_REPORTED_WAITING]:
             observation = _Observation(
                 report.incarnation,
                 frozenset(report.traits[: MAX_PARTS + 1]),
@@ -283,7 +284,9 @@
                 continue
             count_by_trait.update(open_)
             chosen.append(observation)
-        del chosen[MAX_REPORTED:]
+        waiting = [o for o in chosen if not o.begun]
+        chosen = [o for o in chosen if o.begun][:MAX_REPORTED]
+        chosen += waiting[:MAX_REPORTED_WAITING]
         crashes = [
             summaries.CrashReport(
                 o.incarnation, sorted(o.traits), o.begun, now - o.at
--- a/carobsail/crashguard.py
+++ b/carobsail/crashguard.py
@@ -55,7 +55,6 @@
         self._logged: set[frozenset[int]] = set()
         # By incarnation of a target: whether it still accepts connections.
         self._probes: dict[int, asyncio.Task[bool]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
 
     def refusal(self, traits: crashes.Traits) -> errors.Failure | None:
         """Returns the refusal of a request, or None if it may run."""
@@ -103,53 +102,39 @@
         """Records evidence after the connection of a send was lost.
 
         If the target still accepts connections it has not crashed; then the
-        connection was reset, or the response was broken off.
+        connection was reset, or the response was broken off. A request that may
+        only have waited is weak evidence, and so common that the target is
+        examined only once the same request was lost before.
         """
-        fingerprint = call.traits.fingerprint
         if call.first_event_s is not None or call.cursor.overlong:
             return
-        if not call.head_received and not fingerprint:
-            return
-        record = self._record_crash(call, target, pool, call.head_received)
-        if call.head_received or self._observations.is_accused(fingerprint):
-            await record
-            return
-        # Most requests at a crashed target did not cause the crash; they are
-        # sent again without delay.
-        task = asyncio.create_task(record)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _record_crash(
-        self,
-        call: calls.Call,
-        target: targetregistry.Target,
-        pool: httpclient.ConnectionPool,
-        begun: bool,
-    ) -> None:
+        begun, fingerprint = call.head_received, call.traits.fingerprint
         lost_at = asyncio.get_running_loop().time()
         entry = target.entry
         incarnation = crashes.incarnation(entry.identity, entry.start_time_ms)
-        if await self._probe(incarnation, pool):
+        accused = call.traits.all() if begun else (fingerprint,)
+        if not any(accused):
+            return
+        examined = begun or self._observations.is_accused(fingerprint)
+        if examined and await self._probe(incarnation, pool):
             return
-        traits = call.traits
-        accused = traits.all() if begun else (traits.fingerprint,)
         call.begun_at_crash = begun
         news = self._observations.record_crash(
             accused, incarnation, begun, lost_at
         )
-        telemetry.log(
-            _log,
-            "crash_observed",
-            level=logging.WARNING,
-            request=call.metadata.request_id,
-            path=call.request.path,
-            target=entry.identity,
-            begun=begun,
-            prompt_parts=",".join(n for n, _ in call.metadata.prompt_parts),
-            known=not news,
-        )
-        self._metrics.count("crashes_observed")
+        if examined:
+            self._metrics.count("crashes_observed")
+            telemetry.log(
+                _log,
+                "crash_observed",
+                level=logging.WARNING,
+                request=call.metadata.request_id,
+                path=call.request.path,
+                target=entry.identity,
+                begun=begun,
+                prompt_parts=",".join(n for n, _ in call.metadata.prompt_parts),
+                known=not news,
+            )
         if news:
             self._apply_changes()
             if begun:
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -724,7 +724,6 @@
             progress.connect_failures += 1
         elif result.reason in crashguard.TARGET_LOST_REASONS:
             self.on_unreachable()
-            await self.crash_guard.examine_loss(call, target, pool)
         if result.reason is errors.Reason.TARGET_ERROR:
             target.record_error()
         elif result.reason is errors.Reason.CONNECT_FAILED:
@@ -735,6 +734,8 @@
             errors.Reason.SUSPECT_REFUSED,
         ):
             target.record_failure(loop.time())
+        if result.reason in crashguard.TARGET_LOST_REASONS:
+            await self.crash_guard.examine_loss(call, target, pool)
         return result
 
     async def _finish_failed(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -286,6 +286,6 @@
     assert len(observations._observations) <= MAX_OBSERVATIONS
     assert refused(observations, Traits((FIRST, DEADLY)), 1.0)
     reports, answered = observations.reports(1.0, own_only=False)
-    assert len(reports) <= crashes.MAX_REPORTED
+    assert len(reports) == 2 + crashes.MAX_REPORTED_WAITING
     assert len(answered) <= crashes.MAX_REPORTED_ANSWERED
     assert [r.begun for r in reports[:2]] == [True, True]
