Let the soak send prompts that crash engines

A new step makes a share of the streams carry a prompt part that crashes each engine that begins to answer it, and a check counts those that reach engines later than 4 s after the fifth crash (at most three). Stand-in targets that have crashed now refuse connections, as real ones do; their links closed them after accepting.

Also tests that crashes are known everywhere after a cut of some instances, and that late and repeated reports change nothing.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,7 +5,14 @@
 
 import h11
 
-from soak.records import HOST, REQUEST_TIMEOUT_S, CallerRequest, Kind, Record
+from soak.records import (
+    DEADLY_PART,
+    HOST,
+    REQUEST_TIMEOUT_S,
+    CallerRequest,
+    Kind,
+    Record,
+)
 
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
@@ -64,6 +71,8 @@
       models: Models that are requested, in the order of their demand.
       ready: Port of the link and incarnation of each ready instance, by name.
       all_instances: The same for all instances.
+      deadly_share: Share of the streams with a part in their prompt that
+        crashes engines.
     """
 
     def __init__(self, record: Record, rng: random.Random) -> None:
@@ -71,6 +80,7 @@
         self.models: list[str] = []
         self.ready: dict[str, tuple[int, int]] = {}
         self.all_instances: dict[str, tuple[int, int]] = {}
+        self.deadly_share = 0.0
         self._record = record
         self._rng = rng
         self._idle: dict[tuple[str, int], list[_Connection]] = {}
@@ -249,7 +259,8 @@
         elif payload or not (no_body and safe):
             headers.append(("content-length", str(len(payload))))
         if request.kind is Kind.STREAM:
-            headers += self._generation_headers()
+            request.deadly = self._rng.random() < self.deadly_share
+            headers += self._generation_headers(request.deadly)
         message = h11.Request(
             method="GET" if no_body and safe else "POST",
             target=request.path + ("?of=soak" if query else ""),
@@ -260,7 +271,7 @@
             data += protocol.send(h11.Data(data=payload)) or b""
         return data + (protocol.send(h11.EndOfMessage()) or b"")
 
-    def _generation_headers(self) -> list[tuple[str, str]]:
+    def _generation_headers(self, deadly: bool) -> list[tuple[str, str]]:
         # Few models get most of the requests.
         rank = min(len(self.models) - 1, int(self._rng.expovariate(0.7)))
         model = self.models[rank]
@@ -272,6 +283,7 @@
             ("carobsail-token-count", f"{prompt_tokens},60"),
             (
                 "carobsail-prompt-prefix",
+                f"aa:100,{DEADLY_PART if deadly else 'bb'}:100,"
                 f"{self._rng.randint(1, 5):x}:{prompt_tokens}",
             ),
         ]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -58,6 +58,10 @@
 TOLERATED_UNTOLD_SHARE = 0.25
 # Statuses of 3xx and 4xx that are not final.
 NON_FINAL_STATUSES = frozenset({408, 421, 429})
+# Crashes after which prompts with one part must stay away from engines, and
+# number of them that may still reach engines.
+CRASHES_BEFORE_BOUND = 5
+TOLERATED_DEADLY_PROMPTS = 3
 # Statuses that promise that a request was not executed and never will be.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -501,6 +505,27 @@
         yield Violation("gone", "callers", detail)
 
 
+@check("budget")
+def deadly_prompts_stay_away(record: Record) -> Iterator[Violation]:
+    """Engines still get prompts with a part that has crashed five of them."""
+    crashes = sorted(record.deadly_crashes)
+    if len(crashes) < CRASHES_BEFORE_BOUND:
+        return
+    known_at = crashes[CRASHES_BEFORE_BOUND - 1] + CONTACT_BOUND_S
+    sent = [
+        request.request_id
+        for request, runs in _requests_with_runs(record)
+        if request.deadly
+        and any(run.started_at > known_at for run in runs)
+        and record.undisturbed(
+            {request.instance}, known_at - CONTACT_BOUND_S, request.ended_at
+        )
+    ]
+    if len(sent) > TOLERATED_DEADLY_PROMPTS:
+        detail = f"{len(sent)} sent after the fifth crash, such as {sent[0]}"
+        yield Violation("budget", "engines", detail)
+
+
 @check("answered")
 def every_request_gets_an_answer(record: Record) -> Iterator[Violation]:
     """Requests that reach their time-out get no final answer."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 _READ_BYTES = 65_536
 
@@ -28,18 +29,43 @@
         self._downstream_open.set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._reserved: socket.socket | None = None
 
     async def open(self, host: str = "127.0.0.1") -> None:
-        """Opens the port."""
-        self._server = await asyncio.start_server(self._accept, host, 0)
+        """Opens the port, unless it is open."""
+        if self._server is not None:
+            return
+        self._release_port()
+        self._server = await asyncio.start_server(self._accept, host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def refuse(self) -> None:
+        """Refuses connections until `open`, as a crashed server does.
+
+        The port stays reserved by a socket that does not listen.
+        """
+        if self._server is None:
+            return
+        host = self._server.sockets[0].getsockname()[0]
+        self._server.close()
+        self._server = None
+        self._server_address = (host, 0)
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((host, self.port))
+
+    def _release_port(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
+
     def set_server(self, port: int, host: str = "127.0.0.1") -> None:
         """Sets the server behind the link; port 0 closes new connections."""
         self._server_address = (host, port)
 
     async def close(self) -> None:
         """Closes the port and all connections."""
+        self._release_port()
         if self._server is not None:
             self._server.close()
         self.reset()
--- a/soak/records.py
+++ b/soak/records.py
@@ -16,6 +16,10 @@
 Routes = dict[tuple[str, str], frozenset[str]]
 
 
+# Part of a prompt that crashes each engine that begins to answer it.
+DEADLY_PART = "dead"
+
+
 class Kind(enum.StrEnum):
     """Kinds of requests."""
 
@@ -56,6 +60,7 @@
       abandoned: Whether the caller disconnected before the end.
       host: Host that the caller named, in lower case and without a port.
       path: Path without the query.
+      deadly: Whether a part of its prompt crashes engines.
     """
 
     request_id: str
@@ -72,6 +77,7 @@
     abandoned: bool = False
     host: str = HOST
     path: str = ""
+    deadly: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +173,7 @@
       versions: All versions that were sent, in order.
       engine_faults: Orders that engines must not get, such as one that exceeds
         their memory.
+      deadly_crashes: Times at which engines crashed on a prompt.
     """
 
     requests: dict[str, CallerRequest] = dataclasses.field(default_factory=dict)
@@ -176,6 +183,7 @@
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     versions: list[Version] = dataclasses.field(default_factory=list)
     engine_faults: list[str] = dataclasses.field(default_factory=list)
+    deadly_crashes: list[float] = dataclasses.field(default_factory=list)
 
     def add_run(self, run: Run) -> None:
         """Adds an execution."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -30,6 +30,11 @@
     "change_configuration": (4, 0.0, 0.0),
     "shift_demand": (3, 0.0, 0.0),
 }
+# Kinds that are drawn after the others, so that earlier seeds keep their steps.
+LATER_KINDS: dict[str, tuple[float, float, float]] = {
+    # Probability, and shortest and longest duration in seconds.
+    "deadly_prompts": (0.4, 8.0, 20.0),
+}
 PLANNED = (
     "stop_instance",
     "reload_instance",
@@ -94,4 +99,17 @@
         if rng.random() < 0.15:
             repeated = dataclasses.replace(steps[-1], at_s=at_s + 0.3)
             steps.append(repeated)
-    return steps
+    if kinds is PLANNED:
+        return steps
+    for kind, (probability, shortest_s, longest_s) in LATER_KINDS.items():
+        if rng.random() < probability:
+            steps.append(
+                Step(
+                    rng.uniform(QUIET_START_S, max(QUIET_START_S, seconds / 3)),
+                    kind,
+                    rng.random(),
+                    rng.random(),
+                    rng.uniform(shortest_s, longest_s),
+                )
+            )
+    return sorted(steps, key=lambda step: step.at_s)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,6 +10,8 @@
 from soak import polling
 from soak.proxy import Link
 from soak.records import (
+    DEADLY_PART,
+    Disturbance,
     ReceivedOrder,
     Record,
     Run,
@@ -34,6 +36,8 @@
 ADAPTER_LOAD_S = 0.02
 EVENT_INTERVAL_S = 0.04
 MEAN_WORK_S = 0.03
+# Time from a crash on a prompt to the next start.
+CRASHED_PERIOD_S = 1.0
 # Time from the arrival of a late order until the engine carries it out.
 LATE_ORDER_DELAY_S = 2.0
 
@@ -92,8 +96,7 @@
         self._born = max(self._born + 1, 1_000_000 + next(_serial))
         self._leaving = False
         self._running = 0
-        if not self.link.port:
-            await self.link.open()
+        await self.link.open()
         self._server = await httpserver.serve(
             "127.0.0.1",
             0,
@@ -109,7 +112,7 @@
         server, self._server = self._server, None
         if server is None:
             return
-        self.link.set_server(0)
+        self.link.refuse()
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
         await server.close()
@@ -279,6 +282,7 @@
         """Creates an engine that holds `models` after its first start."""
         super().__init__(name, "llm", zone, store, record, rng)
         self.late_orders = 0
+        self.crash_task: asyncio.Task[None] | None = None
         self._initial_models = models
         self._models: dict[str, set[str]] = {}
         self._loading = ""
@@ -342,6 +346,16 @@
             return
         await responder.send(self._execute_order(order), [], b"")
 
+    async def _crash_and_restart(self) -> None:
+        """Crashes and starts again, unless it was started meanwhile."""
+        now = asyncio.get_running_loop().time()
+        end = now + CRASHED_PERIOD_S
+        self._record.disturbances.append(Disturbance(self.identity, now, end))
+        await self.crash()
+        await asyncio.sleep(CRASHED_PERIOD_S)
+        if not self.alive:
+            await self.start()
+
     def _execute_order(self, order: dict[str, str]) -> int:
         """Carries out an order and returns the HTTP status."""
         if not self.alive:
@@ -456,6 +470,13 @@
         count = expected_event_count(run.request_id)
         kind = ("content-type", "text/event-stream")
         await responder.start(200, [*headers, kind])
+        prompt = request.header("carobsail-prompt-prefix") or ""
+        if f",{DEADLY_PART}:" in prompt:
+            self._record.deadly_crashes.append(
+                asyncio.get_running_loop().time()
+            )
+            self.crash_task = asyncio.create_task(self._crash_and_restart())
+            await asyncio.Event().wait()
         for number in range(run.resumed_after + 1, count + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
             event = expected_event(run.request_id, number)
--- a/soak/world.py
+++ b/soak/world.py
@@ -588,6 +588,14 @@
         target.mode = ""
 
 
+@act
+async def deadly_prompts(world: World, step: Step) -> None:
+    """Lets callers send prompts with a part that crashes engines."""
+    world.callers.deadly_share = 0.05 + 0.15 * step.how
+    await asyncio.sleep(step.duration_s)
+    world.callers.deadly_share = 0.0
+
+
 @act
 async def late_orders(world: World, step: Step) -> None:
     """Makes an engine carry out its next orders late, without an answer."""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -150,6 +150,8 @@
         self.mirrors = []
         self.peer_reads = 0
         self.dead = set()
+        # Instances that are cut off from the others.
+        self.cut = set()
         self.tasks = []
         loop = asyncio.get_running_loop()
         for number in range(count):
@@ -212,7 +214,8 @@
 
     def deliver(self, sender, data, address):
         receiver = int(address[0].rsplit(".", 1)[1])
-        if receiver not in self.dead and sender not in self.dead:
+        unreachable = self.dead | self.cut
+        if receiver not in unreachable and sender not in unreachable:
             self.instances[receiver]._handle_datagram(
                 data, (f"10.0.0.{sender}", 7000)
             )
@@ -457,6 +460,43 @@
     assert all(refusals(group, traits))
 
 
+@pytest.mark.parametrize("cut", [{1}, {2, 3}, {0, 1}])
+async def test_crashes_are_known_everywhere_after_a_cut(group, cut):
+    """Instances that were cut off sent what the others refused."""
+    group.cut = cut
+    traits = record_crashes(group, (7, 8), 0, 2)
+    await asyncio.sleep(5.0)
+    group.cut = set()
+    await asyncio.sleep(4.0)  # contactMs of the smallest deployments
+    assert all(refusals(group, traits))
+
+
+async def test_late_and_repeated_reports_change_nothing(group):
+    """Datagrams of the past are delivered again, in another order."""
+    delivered = []
+    deliver = group.deliver
+
+    def record(*datagram):
+        delivered.append(datagram)
+        deliver(*datagram)
+
+    group.deliver = record
+    traits = record_crashes(group, (7, 8), 0, 1)
+    await asyncio.sleep(1.0)
+    assert all(refusals(group, traits))
+    left_s = [
+        h.crash_guard.refusal(traits).retry_after_s for h in group.handlers
+    ]
+    random.Random(1).shuffle(delivered)
+    for datagram in list(delivered):
+        deliver(*datagram)
+    assert left_s == [
+        h.crash_guard.refusal(traits).retry_after_s for h in group.handlers
+    ]
+    sound = [crashes.Traits((7,)), crashes.Traits((8,))]
+    assert not any(any(refusals(group, s)) for s in sound)
+
+
 async def test_new_instance_learns_of_observed_crashes(group):
     """An instance that started anew sent what the others refused."""
     traits = record_crashes(group, (7, 8), 0, 1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,8 +28,8 @@
     expected_event(REQUEST_ID, n)
     for n in range(1, expected_event_count(REQUEST_ID) + 1)
 )
-# The second seed has planned work only.
-CI_SEEDS = (14, 39)
+# The second seed has planned work only, the third one deadly prompts only.
+CI_SEEDS = (14, 39, 2)
 CI_SECONDS = 10.0
 CI_INSTANCES = 3
 CI_PER_S = 15.0
@@ -72,6 +72,13 @@
     return result
 
 
+def deadly(fifth_crash_at):
+    """Returns a record of deadly prompts that engines begin at 10.0 s."""
+    result = copies(sent_request(Kind.STREAM, deadly=True), run(), count=4)
+    result.deadly_crashes = [1.0, 2.0, 3.0, 4.0, fifth_crash_at]
+    return result
+
+
 def denied(request, status=404):
     return dataclasses.replace(request, status=status, signature="", body=b"")
 
@@ -181,6 +188,10 @@
         copies(ABANDONED_REQUEST, run(ended_at=11.6)),
         copies(ABANDONED_REQUEST, run(ended_at=11.4)),
     ),
+    "budget": (
+        deadly(5.0),
+        deadly(6.5),
+    ),
     "answered": (copies(LATE_REQUEST), copies(LATE_REQUEST, count=7)),
 }
 
@@ -331,7 +342,7 @@
     assert schedule.draw(7, 60.0) == schedule.draw(7, 60.0)
     assert schedule.draw(7, 60.0) != schedule.draw(8, 60.0)
     drawn = {s.kind for n in range(40) for s in schedule.draw(n, 60.0)}
-    assert drawn == set(schedule.KINDS)
+    assert drawn == set(schedule.KINDS) | set(schedule.LATER_KINDS)
 
 
 async def test_short_soak_keeps_the_promises(tmp_path: pathlib.Path):
