--- a/carobsail/crashes.py
+++ b/carobsail/crashes.py
@@ -104,7 +104,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Observation:
-    """A crash of a target that was executing a request with these traits."""
+    """A crash of a target that was executing a request with these traits.
+
+    Attributes:
+      incarnation: Incarnation of the target.
+      traits: Traits that the crash counts against.
+      begun: Whether the target had begun to answer the request.
+      at: When the connection was lost.
+      own: Whether this instance has observed it.
+    """
 
     incarnation: int
     traits: frozenset[int]
@@ -170,9 +178,13 @@
         Returns:
           Whether it was unknown.
         """
-        return self._add(
-            _Observation(target, frozenset(traits), begun, now, own=True), now
+        observation = _Observation(
+            target, frozenset(traits), begun, now, own=True
         )
+        if not self._add(observation, now):
+            return False
+        self._judge()
+        return True
 
     def record_answer(self, traits: Traits, now: float) -> bool:
         """Records that a target has begun to answer a request.
@@ -189,7 +201,7 @@
         cleared = [t for t in answered if self._set_answered(t, now)]
         if cleared:
             self._to_report.update(dict.fromkeys(cleared, now))
-            self._judge(now)
+            self._judge()
         return bool(cleared)
 
     def merge(
@@ -203,10 +215,8 @@
         for row in answered[:MAX_REPORTED_ANSWERED]:
             news |= row.trait not in self._answered
             clears |= self._set_answered(row.trait, now - max(0.0, row.age_s))
-        if clears:
-            self._judge(now)
         known_to_sender = {row.trait for row in answered}
-        contributes = False
+        added = contributes = False
         for report in crashes[: MAX_REPORTED + MAX_REPORTED_WAITING]:
             observation = _Observation(
                 report.incarnation,
@@ -214,13 +224,18 @@
                 report.begun,
                 now - max(0.0, report.age_s),
             )
-            if not self._add(observation, now) or not report.begun:
+            if not self._add(observation, now):
+                continue
+            added = True
+            if not report.begun:
                 continue
             news = True
             for trait in observation.traits - known_to_sender:
                 if trait in self._answered:
                     self._to_report[trait] = now
                     contributes = True
+        if clears or added:
+            self._judge()
         return MergeResult(news, contributes)
 
     def refusal_left_s(self, traits: Traits, now: float) -> float:
@@ -318,7 +333,6 @@
             return False
         self._observations[observation.key()] = observation
         self._drop_surplus(now)
-        self._judge(now)
         return True
 
     def _drop_surplus(self, now: float) -> None:
@@ -355,7 +369,7 @@
             if self._answered.get(trait, float("-inf")) <= observation.at
         )
 
-    def _judge(self, now: float) -> None:
+    def _judge(self) -> None:
         """Decides again which traits are refused.
 
         Traits that no target has ever answered are accused first. Crashes that
@@ -393,7 +407,7 @@
             by_trait.setdefault(trait, []).append(observation)
     refused: dict[frozenset[int], float] = {}
     for crashes in by_trait.values():
-        if suffices(crashes):
+        if len(crashes) >= MIN_CRASHES_BEGUN and suffices(crashes):
             common = functools.reduce(
                 frozenset.intersection,
                 (open_by_observation[o] for o in crashes),
