--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -597,12 +597,12 @@
         connection.writer.transport.abort()
 
     def discard(self, connection: _Connection) -> None:
-        """Resets a connection that was in use.
+        """Closes a connection that was in use, without sending buffered bytes.
 
-        On a congested link an orderly close would reach the server only after
-        all bytes still unsent, and the server would keep working until then.
+        On a congested link the server would otherwise keep working until they
+        had arrived. The peer sees an orderly close, and not a reset.
         """
-        sockets.reset(connection.writer.transport)
+        connection.writer.transport.abort()
         self._request_slots.release()
 
     def close(self) -> None:
