Show observed crashes when a request is explained

carobsailctl explain left out crash_observed of the request's targets and request_suspected_of_crashes of its instances, which say why such a request was refused. A test failed before.

--- a/carobsail/explanation.py
+++ b/carobsail/explanation.py
@@ -13,6 +13,7 @@
 
 _TARGET_EVENTS = frozenset(
     {
+        "crash_observed",
         "engine_not_read",
         "order_given",
         "target_avoided",
@@ -26,8 +27,10 @@
         "changes_missed",
         "configuration_in_force",
         "copy_read",
+        "crash_suspect_cleared",
         "event_loop_late",
         "order_giver_changed",
+        "request_suspected_of_crashes",
         "requests_cut_at_stop",
         "started",
         "stopping",
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -37,6 +37,21 @@
     assert "q11" not in text
 
 
+def test_crashes_of_the_targets_of_a_request_are_shown():
+    """The cause of a refusal stood in the logs of other instances only."""
+    crash = (
+        "n2 time=2026-03-01T22:48:51.400Z level=warning event=crash_observed "
+        "request=q2 target=e4 begun=true prompt_parts=aa,bb"
+    )
+    refused = (
+        "n1 time=2026-03-01T22:48:51.500Z level=warning "
+        "event=request_suspected_of_crashes traits=00bb"
+    )
+    lines = [*LOG, *loglines.parse_lines([crash, refused])]
+    text = "\n".join(explain("q1", lines))
+    assert "prompt_parts=aa,bb" in text and "traits=00bb" in text
+
+
 def test_section_length_is_limited():
     """A flapping target must not fill the screen."""
     many = [LOG[6]] * 100
