--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,6 @@
 # The engine is back after some seconds.
 DOWN_S = 3.0
 TOLERATED = 3
-EVENTS = 11
 
 
 class StreamEngine(Engine):
@@ -31,29 +30,12 @@
     crashes: list[float]
     head_first = os.environ.get("HEAD_FIRST") == "1"
 
-    async def run(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+    async def before_first_event(self, request: Message) -> None:
         """See base class; a deadly part crashes the engine."""
-        await asyncio.sleep(random.uniform(0.05, 0.1))
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        headers = self.headers(request) | {"Transfer-Encoding": "chunked"}
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        data = "\r\n".join([*lines, "", ""]).encode()
-        if self.head_first:
-            writer.write(data)
-            data = b""
-            await asyncio.sleep(0.005)
         if is_deadly(request):
             self.crashes.append(standins.now())
             asyncio.create_task(self._crash())
             await asyncio.Event().wait()
-        first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            writer.write(data + b"%x\r\n%b\r\n" % (len(event), event))
-            data = b""
-            await asyncio.sleep(0.02)
-        writer.write(data + b"0\r\n\r\n")
-        return True
 
     async def _crash(self) -> None:
         identity = self.identity
@@ -80,13 +62,7 @@
         engine = StreamEngine(f"e{number}", "llm", zone, store, log)
         engine.crashes = crashes
         engines.append(engine)
-    stream = {
-        "resumable": True,
-        "gapAimMs": 400,
-        "targetLatencyMs": 1000,
-        "sticky": True,
-    }
-    routes = [standins.route("draft", "streaming", "llm", 5000, **stream)]
+    routes = [standins.stream_route("draft", resumable=True)]
     store.put(
         "op/config", standins.configuration(routes, [standins.ENGINE_SERVICE])
     )
@@ -104,13 +80,7 @@
             is_dead = standins.trouble() and random.random() < DEADLY_SHARE
             middle = DEAD if is_dead else f"c0ffee{random.randint(10, 40)}"
             own = f"{random.getrandbits(32):08x}"
-            headers = {
-                "Carobsail-Model": "m0",
-                "Carobsail-Token-Count": "1800,22",
-                "Carobsail-Prompt-Prefix": (
-                    f"aa11aa11:341,{middle}:227,{own}:1232"
-                ),
-            }
+            headers = standins.prompt_headers(middle, own)
             body = f"prompt {own}".encode()
             sent = caller.send(
                 random.choice(fleet.fronts),
--- a/review/standins.py
+++ b/review/standins.py
@@ -32,8 +32,6 @@
 LAPSE_S = 3 * HEARTBEAT_S
 CONTACT_S = 4.0
 DRAIN_S = 2.5
-# How much longer than `DRAIN_S` a server that leaves still serves.
-LINGER_S = 1.5
 # Callers reuse connections for up to four fifths of the idle limit of 20 s.
 MAX_IDLE_S = 15.0
 # Another one in each run, so that no other run takes a server's port.
@@ -198,19 +196,20 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        try:
             while request := await read_request(reader):
-                if self.silent:
-                    await reader.read()
-                    break
-                status, body = await self._call(request)
+                if not self.silent:
+                    status, body = await self._call(request)
                 if self.silent:
                     await reader.read()
                     break
                 kind = {"Content-Type": "application/json"}
                 writer.write(answer(status, kind, json.dumps(body).encode()))
                 await writer.drain()
-        writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # The caller has gone.
+        finally:
+            writer.close()
 
     async def _call(self, request: Message) -> tuple[int, dict[str, object]]:
         self._expire()
@@ -458,10 +457,18 @@
 
 
 class Engine(Server):
-    """A model engine that holds one model from its start."""
+    """A model engine that holds one model from its start.
+
+    Attributes:
+      head_first: Whether the head of an answer is written before the first
+        event; otherwise both are written together.
+    """
 
     slots = 64
     model = "m0"
+    events = 11
+    event_s = 0.02
+    head_first = False
 
     def entry(self) -> dict[str, object]:
         """See base class."""
@@ -489,6 +496,32 @@
         kind = {"Content-Type": "application/json"}
         return answer(200, kind, json.dumps(report).encode())
 
+    async def before_first_event(self, request: Message) -> None:
+        """Called when the first event of an answer is due."""
+
+    async def run(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+        """See base class; the answer is a stream of events."""
+        await asyncio.sleep(random.uniform(0.05, 0.1))
+        headers = self.headers(request) | {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        data = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+        if self.head_first:
+            writer.write(data)
+            data = b""
+            await asyncio.sleep(0.005)
+        await self.before_first_event(request)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            writer.write(data + b"%x\r\n%b\r\n" % (len(event), event))
+            data = b""
+            await asyncio.sleep(self.event_s)
+        writer.write(data + b"0\r\n\r\n")
+        return True
+
 
 def configuration(routes: list[dict], services: list[dict]) -> bytes:
     """Returns a configuration as the operator writes it."""
@@ -545,6 +578,27 @@
 }
 
 
+def stream_route(name: str, **more) -> dict:
+    """Returns a route of streams from engines."""
+    fields = {"gapAimMs": 400, "targetLatencyMs": 1000, "sticky": True}
+    return route(name, "streaming", "llm", 5000, **(fields | more))
+
+
+def prompt_headers(middle: str, own: str) -> dict[str, str]:
+    """Returns the headers of a request to a model engine.
+
+    Args:
+      middle: Second part of the prompt; the first one is always the same.
+      own: Last part of the prompt.
+    """
+    parts = f"aa11aa11:341,{middle}:227,{own}:1232"
+    return {
+        "Carobsail-Model": "m0",
+        "Carobsail-Token-Count": "1800,22",
+        "Carobsail-Prompt-Prefix": parts,
+    }
+
+
 def _free_port(addresses: list[str], kind: int, used: set[int]) -> int:
     """Returns a port that is free at all addresses."""
     while True:
@@ -693,6 +747,9 @@
     Attributes:
       status: Status of the answer; 0 without one.
       whole: Whether the answer came to its end.
+      events: Events of a stream that came.
+      ended: When the answer ended.
+      headers: Headers of the answer.
     """
 
     identity: str
@@ -702,6 +759,7 @@
     whole: bool = False
     events: int = 0
     ended: float = 0.0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Caller:
@@ -786,7 +844,7 @@
         head = await read_head(reader)
         if head is None:
             return False
-        sent.status = head.status
+        sent.status, sent.headers = head.status, head.headers
         if "content-length" in head.headers:
             await reader.readexactly(int(head.headers["content-length"]))
         elif "chunked" in head.headers.get("transfer-encoding", ""):
