--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,21 +30,13 @@
     crashes: list[float]
     head_first = os.environ.get("HEAD_FIRST") == "1"
 
-    async def before_first_event(self, request: Message) -> None:
-        """See base class; a deadly part crashes the engine."""
+    async def before_event(self, request: Message, number: int) -> None:
+        """See base class; a deadly part crashes the engine at the first."""
         if is_deadly(request):
             self.crashes.append(standins.now())
-            asyncio.create_task(self._crash())
+            asyncio.create_task(self.crash(DOWN_S))
             await asyncio.Event().wait()
 
-    async def _crash(self) -> None:
-        identity = self.identity
-        self.end()
-        await asyncio.sleep(DOWN_S)
-        await self.start()
-        await asyncio.sleep(standins.LAPSE_S - DOWN_S)
-        self._store.remove(f"servers/{identity}")
-
 
 def is_deadly(request: Message) -> bool:
     """Whether the prompt of a request has the deadly part."""
--- a/review/standins.py
+++ b/review/standins.py
@@ -496,8 +496,19 @@
         kind = {"Content-Type": "application/json"}
         return answer(200, kind, json.dumps(report).encode())
 
-    async def before_first_event(self, request: Message) -> None:
-        """Called when the first event of an answer is due."""
+    async def before_event(self, request: Message, number: int) -> None:
+        """Called when an event is due; the first one has number 1."""
+
+    async def crash(self, down_s: float) -> None:
+        """Ends at once and starts again; its old entry lapses."""
+        identity = self.identity
+        if not self.alive:
+            return
+        self.end()
+        await asyncio.sleep(down_s)
+        await self.start()
+        await asyncio.sleep(LAPSE_S - down_s)
+        self._store.remove(f"servers/{identity}")
 
     async def run(self, request: Message, writer: asyncio.StreamWriter) -> bool:
         """See base class; the answer is a stream of events."""
@@ -512,9 +523,9 @@
             writer.write(data)
             data = b""
             await asyncio.sleep(0.005)
-        await self.before_first_event(request)
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
+            await self.before_event(request, number)
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             writer.write(data + b"%x\r\n%b\r\n" % (len(event), event))
             data = b""
