--- a/review/standins.py
+++ b/review/standins.py
@@ -409,16 +409,17 @@
             return True
         if request.path.startswith("/v1/"):
             writer.write(self.control(request))
-            return True
+            return self.keeps_control_connection()
         if request.path == "/health":
             headers = {"Carobsail-Instance-Id": self.identity}
             writer.write(answer(200, headers, b""))
             return True
         identity = request.headers.get("carobsail-request-id", "")
         self.arrivals.append((now(), self.identity, request))
-        if self.running >= self.slots:
+        if self.running >= self.slots or not self.can_serve(request):
             headers = {"Carobsail-Not-Executed": "1"}
-            writer.write(answer(503, headers, b""))
+            status = 503 if self.can_serve(request) else 421
+            writer.write(answer(status, headers, b""))
             return True
         self._log.write("runs", request=identity, server=self.identity)
         self.runs.append((now(), self.identity, request))
@@ -435,6 +436,14 @@
         """Answers a call that is not a client's request."""
         return answer(404, {}, b"")
 
+    def keeps_control_connection(self) -> bool:
+        """Whether a connection is kept after a call of the system's own."""
+        return True
+
+    def can_serve(self, request: Message) -> bool:
+        """Whether it holds what a request needs."""
+        return True
+
     def headers(self, request: Message) -> dict[str, str]:
         """Returns the headers of the answer to a request."""
         identity = request.headers.get("carobsail-request-id", "")
