--- a/review/standins.py
+++ b/review/standins.py
@@ -379,6 +379,17 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def crash(self, down_s: float) -> None:
+        """Ends at once and starts again; its old entry lapses."""
+        identity = self.identity
+        if not self.alive:
+            return
+        self.end()
+        await asyncio.sleep(down_s)
+        await self.start()
+        await asyncio.sleep(LAPSE_S - down_s)
+        self._store.remove(f"servers/{identity}")
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -508,17 +519,6 @@
     async def before_event(self, request: Message, number: int) -> None:
         """Called when an event is due; the first one has number 1."""
 
-    async def crash(self, down_s: float) -> None:
-        """Ends at once and starts again; its old entry lapses."""
-        identity = self.identity
-        if not self.alive:
-            return
-        self.end()
-        await asyncio.sleep(down_s)
-        await self.start()
-        await asyncio.sleep(LAPSE_S - down_s)
-        self._store.remove(f"servers/{identity}")
-
     async def run(self, request: Message, writer: asyncio.StreamWriter) -> bool:
         """See base class; the answer is a stream of events."""
         await asyncio.sleep(random.uniform(0.05, 0.1))
