--- a/review/standins.py
+++ b/review/standins.py
@@ -656,8 +656,8 @@
 
     def __init__(self, count: int, store: Store, log: Journal) -> None:
         """Prepares the settings of the instances."""
-        net = random.randint(1, 250)
-        self.addresses = [f"127.77.{net}.{n + 1}" for n in range(count)]
+        net = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250 + 1}"
+        self.addresses = [f"{net}.{n + 1}" for n in range(count)]
         used: set[int] = set()
         tcp = [
             _free_port(self.addresses, socket.SOCK_STREAM, used)
