--- a/review/standins.py
+++ b/review/standins.py
@@ -385,10 +385,11 @@
         if not self.alive:
             return
         self.end()
+        asyncio.get_running_loop().call_later(
+            LAPSE_S, self._store.remove, f"servers/{identity}"
+        )
         await asyncio.sleep(down_s)
         await self.start()
-        await asyncio.sleep(LAPSE_S - down_s)
-        self._store.remove(f"servers/{identity}")
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
