--- a/review/1/case.py
+++ b/review/1/case.py
@@ -109,15 +109,15 @@
 ) -> bool:
     """Counts deadly requests at engines after the bound."""
     crashes.sort()
-    late: list[float] = []
+    late: set[str] = set()
     if len(crashes) >= 5:
         bound = crashes[4] + CONTACT_S
-        late = [
-            at
+        late = {
+            request.headers["carobsail-request-id"]
             for engine in engines
             for at, _, request in engine.arrivals
             if is_deadly(request) and at > bound
-        ]
+        }
     sound = [s for s in caller.sent if s.identity not in deadly]
     lost = [s for s in sound if s.status != 200 or not s.whole]
     text = (
