Recognise deadly prompt parts whatever a crashing engine has written

Cause: a crash was evidence against the parts of a prompt only if a head and no event had arrived (`crashguard.examine_loss`), and the first event counted as the proof that a request is sound. Ruled out: evidence lost between instances, since the new plays fail with one instance too.

Change: only a complete answer clears a request or a part. A request with such a part that two targets have lost is not sent again before the part is answered. `LostRequests` and `LostParts` share the new `LossRecord`. Virtual timers of the tests fire on ticks of the clock, since a wait for a time between two ticks never ended.

Conclusion: the state of an answer at a crash doesn't tell which request has caused it; what is never answered does.

--- a/carobsail/crashes.py
+++ b/carobsail/crashes.py
@@ -10,26 +10,36 @@
 the last one, which belongs to this request alone, and its fingerprint, a hash
 of all that is the same when its caller repeats it. Each crash of a target is an
 observation against the traits of a request that it was executing. A trait that
-a target has answered since then is cleared of that crash. When the observations
-suffice, a request is refused if it has all traits that the crashes have in
-common and that no target has answered, so that requests that share only some of
-them are still served.
+a target has answered since then is cleared of that crash; only a complete
+answer counts, since a target may write some events before it crashes. When the
+observations suffice, a request is refused if it has all traits that the crashes
+have in common and that no target has answered, so that requests that share only
+some of them are still served.
 
 A crash also ends all other requests at the target, so most of what it was
-executing is innocent. A target sends the head of a stream when it begins to
+executing is innocent. Most targets send the head of a stream when they begin to
 answer, and the first event immediately after it. A request of which only the
 head has arrived was being begun at the time of the crash and is therefore
-strong evidence; two such crashes suffice. A request without a head is counted
-only together with its own repetitions; see `lostrequests`.
+strong evidence; two such crashes suffice. All others, without a head or with
+events, look alike at the crash whether they have caused it or not. They are
+counted together with their own repetitions, see `lostrequests`, and with other
+requests that have a part in common, see `lostparts`.
 """
 
 import collections
 import dataclasses
 import functools
 import hashlib
+import math
 from collections.abc import Callable, Collection
 
-from carobsail import headercodec, httpserver, lostrequests, summaries
+from carobsail import (
+    headercodec,
+    httpserver,
+    lostparts,
+    lostrequests,
+    summaries,
+)
 from carobsail.lostrequests import REFUSED_S
 
 # Number of targets that must have crashed when they had begun to answer before
@@ -46,6 +56,7 @@
 MAX_ANSWERED = 8192
 MAX_REPORTED = 12
 MAX_REPORTED_LOSSES = 128
+MAX_REPORTED_PART_LOSSES = 64
 MAX_REPORTED_ANSWERED = 48
 # Parts of a prompt that are examined.
 MAX_PARTS = 16
@@ -143,6 +154,7 @@
     __slots__ = (
         "_answered",
         "_lost",
+        "_lost_parts",
         "_observations",
         "_refused",
         "_to_report",
@@ -150,11 +162,11 @@
 
     def __init__(self) -> None:
         self._observations: dict[tuple[int, frozenset[int]], _Observation] = {}
-        self._lost = lostrequests.LostRequests()
-        # By trait: when a target last began to answer a request with it.
-        self._answered: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
+        # By trait: when a target last answered a request with it.
+        self._answered = lostrequests.AnswerTimes(MAX_ANSWERED)
+        crash_times = lostrequests.CrashTimes()
+        self._lost = lostrequests.LostRequests(crash_times)
+        self._lost_parts = lostparts.LostParts(crash_times, self._answered)
         # Answered traits that others need to know, and since when.
         self._to_report: dict[int, float] = {}
         # Sets of traits; a request that has all of one set is refused, until
@@ -167,7 +179,7 @@
         target: int,
         begun: bool,
         now: float,
-        waited: bool = False,
+        weak: bool = False,
     ) -> bool:
         """Records that a target crashed while it executed a request.
 
@@ -177,14 +189,15 @@
           target: Incarnation of the target.
           begun: Whether the target had begun to answer this request.
           now: Time of the event loop's clock in seconds.
-          waited: Whether the request was queued behind others when it was sent.
+          weak: Whether the request was queued behind others when it was sent,
+            or the target had been answering it for long.
 
         Returns:
           Whether it was unknown.
         """
         if not begun:
             return self._record_losses(
-                traits, lostrequests.Loss(target, now, waited, own=True), now
+                traits, lostrequests.Loss(target, now, weak, own=True), now
             )
         observation = _Observation(target, frozenset(traits), now, own=True)
         if not self._add(observation, now):
@@ -202,14 +215,37 @@
         known = [not self._lost.record(f, loss, now) for f in fingerprints]
         return not all(known)
 
+    def record_lost_parts(
+        self, traits: Traits, target: int, now: float, weak: bool
+    ) -> bool:
+        """Records that the prompt of a request was lost in a crash.
+
+        Args:
+          traits: Traits of the request.
+          target: Incarnation of the target.
+          now: Time of the event loop's clock in seconds.
+          weak: Whether the target had been answering it for long.
+
+        Returns:
+          Whether this was unknown for a part that no target has answered.
+        """
+        unanswered = self.unanswered_parts(traits)
+        if traits.parts and not unanswered:
+            self._lost_parts.count_sound_request(lost=True)
+        loss = lostrequests.Loss(target, now, weak, own=True)
+        known = [not self._lost_parts.record(p, loss, now) for p in unanswered]
+        return not all(known)
+
     def record_answer(self, traits: Traits, now: float) -> bool:
-        """Records that a target has begun to answer a request.
+        """Records that a target has answered a request completely.
 
         Returns:
           Whether others should learn of it, because it clears a trait of an
           observed crash.
         """
         fingerprint = traits.fingerprint
+        if traits.parts and not self.unanswered_parts(traits):
+            self._lost_parts.count_sound_request(lost=False)
         cleared = [t for t in traits.parts if self._set_answered(t, now)]
         clears_loss = self._lost.record_answer(fingerprint, now)
         # Fingerprints of all requests would displace the parts of prompts.
@@ -256,42 +292,20 @@
                     contributes = True
         if clears or added:
             self._judge()
-        losses = [report for report in crashes if not report.begun]
-        new_suspects, answered_here = self._merge_losses(losses, now)
-        for trait in answered_here - known_to_sender:
-            self._to_report[trait] = now
-            contributes = True
-        return MergeResult(news or new_suspects, contributes)
-
-    def _merge_losses(
-        self, reports: list[summaries.CrashReport], now: float
-    ) -> tuple[bool, set[int]]:
-        """Merges the requests that other instances have lost.
-
-        Returns:
-          Whether one became a suspect or is refused now, and the suspects of
-          the sender that this instance has seen answered later.
-        """
-        count_left = MAX_REPORTED_LOSSES
-        changed = False
-        crash_count: collections.Counter[int] = collections.Counter()
-        answered_here: set[int] = set()
-        for report in reports:
-            fingerprints = report.traits[:count_left]
-            count_left -= len(fingerprints)
-            loss = lostrequests.Loss(
-                report.incarnation,
-                now - max(0.0, report.age_s),
-                report.waited,
+        lost = [r for r in crashes if not r.begun and not r.parts]
+        lost_parts = [r for r in crashes if not r.begun and r.parts]
+        for record, reports, limit in (
+            (self._lost, lost, MAX_REPORTED_LOSSES),
+            (self._lost_parts, lost_parts, MAX_REPORTED_PART_LOSSES),
+        ):
+            new_suspects, answered_here = _merge_losses(
+                record, reports, limit, now
             )
-            for fingerprint in fingerprints:
-                crash_count[fingerprint] += 1
-                if loss.at < self._lost.answered_at(fingerprint):
-                    answered_here.add(fingerprint)
-                elif self._lost.record(fingerprint, loss, now):
-                    changed |= self._lost.is_suspect(fingerprint)
-        # Requests that were lost once and answered are too many to report.
-        return changed, {f for f in answered_here if crash_count[f] > 1}
+            news |= new_suspects
+            for trait in answered_here - known_to_sender:
+                self._to_report[trait] = now
+                contributes = True
+        return MergeResult(news, contributes)
 
     def refusal_left_s(self, traits: Traits, now: float) -> float:
         """Returns for how long a request is refused; 0 if it is not."""
@@ -307,6 +321,10 @@
         """
         until = self._lost.refused.get(traits.fingerprint, now)
         matched = frozenset((traits.fingerprint,))
+        for part in traits.parts:
+            part_until = self._lost_parts.refused.get(part, now)
+            if part_until > until:
+                matched, until = frozenset((part,)), part_until
         if self._refused:
             has = set(traits.all())
             for refused, refused_until in self._refused.items():
@@ -322,6 +340,10 @@
         """Whether a request was lost with two targets since its answer."""
         return self._lost.is_suspect(fingerprint)
 
+    def has_suspect_part(self, traits: Traits) -> bool:
+        """Whether a part was lost with two targets and never answered."""
+        return any(self._lost_parts.is_suspect(part) for part in traits.parts)
+
     def unanswered_parts(self, traits: Traits) -> set[int]:
         """Returns the parts of a prompt that no target has answered."""
         return {part for part in traits.parts if part not in self._answered}
@@ -329,7 +351,11 @@
     @property
     def refused(self) -> set[frozenset[int]]:
         """Sets of traits of which a refused request has all."""
-        return {*self._refused, *(frozenset((f,)) for f in self._lost.refused)}
+        return {
+            *self._refused,
+            *(frozenset((f,)) for f in self._lost.refused),
+            *(frozenset((p,)) for p in self._lost_parts.refused),
+        }
 
     def reports(
         self, now: float, own_only: bool
@@ -366,7 +392,20 @@
             )
             for o in chosen
         ]
-        crashes += self._loss_reports(now, own_only)
+        crashes += _loss_reports(
+            self._lost_parts.reported(
+                now - lostrequests.LOSS_WINDOW_S, own_only
+            ),
+            MAX_REPORTED_PART_LOSSES,
+            now,
+            parts=True,
+        )
+        crashes += _loss_reports(
+            self._lost.reported(now - REPORT_S, own_only),
+            MAX_REPORTED_LOSSES,
+            now,
+            parts=False,
+        )
         self._to_report = {
             t: at for t, at in self._to_report.items() if now - at < REPORT_S
         }
@@ -379,40 +418,9 @@
         answered.sort(key=lambda row: row.age_s)
         return crashes, answered[:MAX_REPORTED_ANSWERED]
 
-    def _loss_reports(
-        self, now: float, own_only: bool
-    ) -> list[summaries.CrashReport]:
-        """Returns the lost requests to be sent to others, by crash."""
-        count = 0
-        by_crash: dict[tuple[int, bool], list[int]] = {}
-        newest_at: dict[tuple[int, bool], float] = {}
-        for fingerprint, losses in self._lost.reported(
-            now - REPORT_S, own_only
-        ):
-            count += len(losses)
-            if count > MAX_REPORTED_LOSSES:
-                break
-            for loss in losses:
-                key = (loss.target, loss.waited)
-                by_crash.setdefault(key, []).append(fingerprint)
-                newest_at[key] = max(loss.at, newest_at.get(key, loss.at))
-        return [
-            summaries.CrashReport(
-                target,
-                fingerprints,
-                False,
-                now - newest_at[target, waited],
-                waited,
-            )
-            for (target, waited), fingerprints in by_crash.items()
-        ]
-
     def _last_answered_at(self, trait: int) -> float:
         """Returns when a trait was last answered, as far as is known."""
-        return max(
-            self._answered.get(trait, float("-inf")),
-            self._lost.answered_at(trait),
-        )
+        return max(self._answered.get(trait), self._lost.answered_at(trait))
 
     def _add(self, observation: _Observation, now: float) -> bool:
         if not observation.traits or now - observation.at >= REFUSED_S:
@@ -437,13 +445,11 @@
 
     def _set_answered(self, trait: int, at: float) -> bool:
         """Records an answer; returns whether it clears an observation."""
-        before = self._answered.get(trait, float("-inf"))
-        if at <= before:
+        before = self._answered.get(trait)
+        if not self._answered.record(trait, at):
             return False
-        self._answered[trait] = at
-        self._answered.move_to_end(trait)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
+        if self._lost_parts.clear(trait, math.inf):
+            return True
         return any(
             trait in o.traits and before <= o.at
             for o in self._observations.values()
@@ -454,7 +460,7 @@
         return frozenset(
             trait
             for trait in observation.traits
-            if self._answered.get(trait, float("-inf")) <= observation.at
+            if self._answered.get(trait) <= observation.at
         )
 
     def _judge(self) -> None:
@@ -514,4 +520,76 @@
 
 
 def _count(crashes: list[_Observation]) -> int:
-    return lostrequests.count_separate((o.incarnation, o.at) for o in crashes)
+    return lostrequests.count_separate(
+        lostrequests.Loss(o.incarnation, o.at) for o in crashes
+    )
+
+
+def _merge_losses(
+    record: lostrequests.LossRecord,
+    reports: list[summaries.CrashReport],
+    limit: int,
+    now: float,
+) -> tuple[bool, set[int]]:
+    """Merges what other instances have lost.
+
+    Args:
+      record: Record that the reports belong to.
+      reports: Reports of another instance.
+      limit: Largest number of losses that are read.
+      now: Time of the event loop's clock in seconds.
+
+    Returns:
+      Whether anything became a suspect or is refused now, and the suspects of
+      the sender that this instance has seen answered.
+    """
+    changed = False
+    crash_count: collections.Counter[int] = collections.Counter()
+    answered_here: set[int] = set()
+    for report in reports:
+        keys = report.traits[:limit]
+        limit -= len(keys)
+        loss = lostrequests.Loss(
+            report.incarnation, now - max(0.0, report.age_s), report.weak
+        )
+        for key in keys:
+            crash_count[key] += 1
+            if record.is_cleared(key, loss):
+                answered_here.add(key)
+            elif record.record(key, loss, now):
+                changed |= record.is_suspect(key)
+    # What was lost once and answered is too much to report.
+    return changed, {key for key in answered_here if crash_count[key] > 1}
+
+
+def _loss_reports(
+    rows: list[tuple[int, list[lostrequests.Loss]]],
+    limit: int,
+    now: float,
+    parts: bool,
+) -> list[summaries.CrashReport]:
+    """Returns losses to be sent to others, by crash.
+
+    Args:
+      rows: What was lost, the most important first.
+      limit: Largest number of losses to report.
+      now: Time of the event loop's clock in seconds.
+      parts: Whether parts of prompts were lost.
+    """
+    count = 0
+    by_crash: dict[tuple[int, bool], list[int]] = {}
+    newest_at: dict[tuple[int, bool], float] = {}
+    for key, losses in rows:
+        count += len(losses)
+        if count > limit:
+            break
+        for loss in losses:
+            crash = (loss.target, loss.weak)
+            by_crash.setdefault(crash, []).append(key)
+            newest_at[crash] = max(loss.at, newest_at.get(crash, loss.at))
+    return [
+        summaries.CrashReport(
+            target, keys, False, now - newest_at[target, weak], weak, parts
+        )
+        for (target, weak), keys in by_crash.items()
+    ]
--- a/carobsail/crashguard.py
+++ b/carobsail/crashguard.py
@@ -22,6 +22,9 @@
     telemetry,
 )
 
+# A request whose target has been answering it for longer than this is unlikely
+# to have crashed it: deadly requests crash targets that begin to answer.
+BEGINNING_S = 2.0
 # Failures of a send that may mean that its target has crashed.
 TARGET_LOST_REASONS = (errors.Reason.CONNECTION_LOST, errors.Reason.ANSWER_CUT)
 
@@ -89,7 +92,7 @@
             del self._sends[id(call)]
 
     def record_answer(self, call: calls.Call) -> None:
-        """Records that a target has begun to answer a request."""
+        """Records that a target has answered a request completely."""
         now = asyncio.get_running_loop().time()
         if self._observations.record_answer(call.traits, now):
             self._apply_changes()
@@ -104,24 +107,39 @@
         """Records evidence after the connection of a send was lost.
 
         If the target still accepts connections it has not crashed; then the
-        connection was reset, or the response was broken off. Requests that were
-        lost without a head are so common that the target is examined only once
-        the same request was lost before.
+        connection was reset, or the response was broken off. Lost requests are
+        so common that the target is examined only for those that it was
+        beginning to answer, that were lost before, or that have a part in their
+        prompt which no target has answered.
         """
-        if call.first_event_s is not None or call.cursor.overlong:
+        if call.cursor.overlong:
             return
-        begun, fingerprint = call.head_received, call.traits.fingerprint
+        fingerprint, first_s = call.traits.fingerprint, call.first_event_s
+        begun = call.head_received and first_s is None
         lost_at = asyncio.get_running_loop().time()
         entry = target.entry
         incarnation = crashes.incarnation(entry.identity, entry.start_time_ms)
-        examined = begun or self._observations.was_lost(fingerprint)
+        examined = (
+            begun
+            or self._observations.was_lost(fingerprint)
+            or bool(self._observations.unanswered_parts(call.traits))
+        )
         if examined and await self._probe(incarnation, pool):
             return
         call.begun_at_crash, call.lost_at_crash = begun, True
+        answered_long = (
+            first_s is not None
+            and lost_at - call.sent_at - first_s > BEGINNING_S
+        )
         forecast = call.forecast
-        waited = not begun and forecast is not None and forecast.queued
+        queued = (
+            not call.head_received and forecast is not None and forecast.queued
+        )
         news = self._observations.record_crash(
-            (fingerprint,), incarnation, False, lost_at, waited
+            (fingerprint,), incarnation, False, lost_at, queued or answered_long
+        )
+        news |= self._observations.record_lost_parts(
+            call.traits, incarnation, lost_at, answered_long
         )
         if begun:
             news |= self._observations.record_crash(
@@ -138,12 +156,17 @@
                 fingerprint=_describe((fingerprint,)),
                 target=entry.identity,
                 begun=begun,
+                first_event_s=first_s,
                 prompt_parts=",".join(n for n, _ in call.metadata.prompt_parts),
                 known=not news,
             )
         if news:
             self._apply_changes()
-            if begun or self._observations.is_suspect(fingerprint):
+            if (
+                begun
+                or self._observations.is_suspect(fingerprint)
+                or self._observations.has_suspect_part(call.traits)
+            ):
                 self.on_crash()
 
     async def _probe(
@@ -169,9 +192,10 @@
         its caller repeats it, it is sent once.
 
         A request that a target was beginning to answer when it crashed is the
-        likely cause. It is sent again once each part of its prompt has been
-        answered in other requests, and not at all if no instance reports that
-        within the latency objective of its route.
+        likely cause, and so is one with a part that two targets have lost and
+        none has answered. It is sent again once each part of its prompt has
+        been answered in other requests, and not at all if no instance reports
+        that within the latency objective of its route.
 
         Returns:
           Whether it may be sent.
@@ -185,7 +209,11 @@
             return False
         while self.refusal(call.traits) is None:
             unanswered = self._observations.unanswered_parts(call.traits)
-            if not call.begun_at_crash or not unanswered:
+            likely_cause = call.begun_at_crash or (
+                call.lost_at_crash
+                and self._observations.has_suspect_part(call.traits)
+            )
+            if not likely_cause or not unanswered:
                 return True
             changed = self._changed
             try:
--- a/carobsail/lostrequests.py
+++ b/carobsail/lostrequests.py
@@ -10,10 +10,12 @@
 are few and are kept and reported before the others.
 
 Some crashes are weak evidence. A request that has waited at a target did not
-crash it. When several targets crash at once, for instance with their rack, the
-cause lies outside the requests unless all of these targets held the request.
+crash it, nor did one that the target has been answering for long. When several
+targets crash at once, for instance with their rack, the cause lies outside the
+requests unless all of these targets held the request.
 """
 
+import abc
 import collections
 import dataclasses
 from collections.abc import Iterable
@@ -44,20 +46,78 @@
     Attributes:
       target: Incarnation of the target.
       at: When the connection was lost.
-      waited: Whether the request was queued behind others when it was sent.
+      weak: Whether the request was queued behind others when it was sent, or
+        the target had been answering it for long.
       own: Whether this instance has observed it.
     """
 
     target: int
     at: float
-    waited: bool = False
+    weak: bool = False
     own: bool = False
 
 
-class LostRequests:
-    """Crashes in which requests were lost since they were last answered.
+class CrashTimes:
+    """Times of the newest crashes, by incarnation of the target."""
+
+    __slots__ = ("_at",)
+
+    def __init__(self) -> None:
+        # Oldest record first.
+        self._at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._at)
+
+    def record(self, target: int, at: float) -> None:
+        """Records a crash; the first time that was recorded is kept."""
+        self._at.setdefault(target, at)
+        if len(self._at) > MAX_CRASHES:
+            self._at.popitem(last=False)
+
+    def others(self, targets: set[int]) -> list[float]:
+        """Returns when targets other than these crashed."""
+        return [at for t, at in self._at.items() if t not in targets]
+
+
+class AnswerTimes:
+    """Times of the last answers, by what was answered; limited in number."""
+
+    __slots__ = ("_at", "_limit")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._at)
+
+    def __contains__(self, key: int) -> bool:
+        return key in self._at
+
+    def get(self, key: int) -> float:
+        """Returns when something was last answered, as far as is known."""
+        return self._at.get(key, float("-inf"))
+
+    def record(self, key: int, at: float) -> bool:
+        """Records an answer; returns whether it is the newest."""
+        if at <= self.get(key):
+            return False
+        self._at[key] = at
+        self._at.move_to_end(key)
+        if len(self._at) > self._limit:
+            self._at.popitem(last=False)
+        return True
 
-    A request is named by its fingerprint. Recording is idempotent.
+
+class LossRecord(abc.ABC):
+    """Crashes in which something was lost since it was last answered.
+
+    What is lost is named by a hash. Recording is idempotent.
     """
 
     __slots__ = (
@@ -68,110 +128,117 @@
         "_repeatedly",
     )
 
-    def __init__(self) -> None:
-        # By fingerprint, oldest record first.
+    def __init__(self, crash_times: CrashTimes, answered: AnswerTimes) -> None:
+        """Creates a record without losses.
+
+        Args:
+          crash_times: All crashes that are known.
+          answered: When what may be lost was last answered.
+        """
+        # By hash, oldest record first.
         self._once: collections.OrderedDict[int, Loss] = (
             collections.OrderedDict()
         )
         self._repeatedly: dict[int, list[Loss]] = {}
-        self._answered: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
-        # By incarnation of the target, oldest record first.
-        self._crashed_at: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
-        # By fingerprint: until when it is refused.
+        self._answered = answered
+        self._crashed_at = crash_times
+        # By hash: until when it is refused.
         self._refused: dict[int, float] = {}
 
-    def record(self, fingerprint: int, loss: Loss, now: float) -> bool:
-        """Records that a request was lost in the crash of a target.
+    @abc.abstractmethod
+    def _suffices(self, losses: list[Loss]) -> bool:
+        """Returns whether crashes within `LOSS_WINDOW_S` justify a refusal."""
+
+    def record(self, key: int, loss: Loss, now: float) -> bool:
+        """Records a loss in the crash of a target.
 
         Returns:
-          Whether this was unknown and the request was not answered since.
+          Whether this was unknown and nothing was answered since.
         """
-        if now - loss.at >= REFUSED_S or loss.at < self.answered_at(
-            fingerprint
-        ):
+        if now - loss.at >= REFUSED_S or self.is_cleared(key, loss):
             return False
-        self._crashed_at.setdefault(loss.target, loss.at)
-        if len(self._crashed_at) > MAX_CRASHES:
-            self._crashed_at.popitem(last=False)
-        known = self.losses(fingerprint)
+        self._crashed_at.record(loss.target, loss.at)
+        known = self.losses(key)
         if any(loss.target == k.target for k in known):
             return False
         if not known:
-            self._once[fingerprint] = loss
+            self._once[key] = loss
             if len(self._once) > MAX_LOST_ONCE:
                 self._once.popitem(last=False)
             return True
-        self._once.pop(fingerprint, None)
-        self._repeatedly[fingerprint] = [*known, loss]
-        self._judge(fingerprint)
+        self._once.pop(key, None)
+        self._repeatedly[key] = [*known, loss]
+        self._judge(key)
         self._drop_surplus(now)
         return True
 
-    def record_answer(self, fingerprint: int, at: float) -> bool:
-        """Records that a target has answered a request.
+    def is_cleared(self, key: int, loss: Loss) -> bool:
+        """Whether an answer shows that a loss is no evidence."""
+        return loss.at < self._answered.get(key)
+
+    def record_answer(self, key: int, at: float) -> bool:
+        """Records that a target has answered.
 
         Returns:
-          Whether this clears a crash of a request that was lost repeatedly.
+          Whether this clears a crash of what was lost repeatedly.
         """
-        if at <= self.answered_at(fingerprint):
-            return False
-        self._answered[fingerprint] = at
-        self._answered.move_to_end(fingerprint)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
-        known = self.losses(fingerprint)
+        return self._answered.record(key, at) and self.clear(key, at)
+
+    def clear(self, key: int, at: float) -> bool:
+        """Forgets the losses before an answer.
+
+        Returns:
+          Whether this clears a crash of what was lost repeatedly.
+        """
+        known = self.losses(key)
         left = [loss for loss in known if loss.at > at]
         if len(left) == len(known):
             return False
-        was_repeated = self._repeatedly.pop(fingerprint, None) is not None
-        self._once.pop(fingerprint, None)
-        self._refused.pop(fingerprint, None)
+        was_repeated = self._repeatedly.pop(key, None) is not None
+        self._once.pop(key, None)
+        self._refused.pop(key, None)
         if len(left) == 1:
-            self._once[fingerprint] = left[0]
+            self._once[key] = left[0]
         elif left:
-            self._repeatedly[fingerprint] = left
-            self._judge(fingerprint)
+            self._repeatedly[key] = left
+            self._judge(key)
         return was_repeated
 
-    def answered_at(self, fingerprint: int) -> float:
-        """Returns when a request was last answered, as far as is known."""
-        return self._answered.get(fingerprint, float("-inf"))
+    def answered_at(self, key: int) -> float:
+        """Returns when something was last answered, as far as is known."""
+        return self._answered.get(key)
 
-    def losses(self, fingerprint: int) -> list[Loss]:
-        """Returns the crashes in which a request was lost since its answer."""
-        once = self._once.get(fingerprint)
+    def losses(self, key: int) -> list[Loss]:
+        """Returns the crashes in which something was lost since its answer."""
+        once = self._once.get(key)
         if once is not None:
             return [once]
-        return self._repeatedly.get(fingerprint, [])
+        return self._repeatedly.get(key, [])
 
-    def is_suspect(self, fingerprint: int) -> bool:
-        """Whether a request was lost with two targets since its answer."""
-        return fingerprint in self._repeatedly
+    def is_suspect(self, key: int) -> bool:
+        """Whether something was lost with two targets since its answer."""
+        return key in self._repeatedly
 
     @property
     def refused(self) -> dict[int, float]:
-        """Fingerprints of the refused requests, and until when."""
+        """Hashes of what is refused, and until when."""
         return self._refused
 
     def reported(
         self, since: float, own_only: bool
     ) -> list[tuple[int, list[Loss]]]:
-        """Returns requests and crashes to be reported, the first ones first.
+        """Returns losses to be reported, the first ones first.
 
         Args:
           since: Time before which losses are old.
-          own_only: Whether to include only requests that this instance has lost
-            recently; otherwise all that were lost repeatedly are included. All
-            crashes of such a request are included: others that have seen it
-            answered recognise by two crashes that this is news.
+          own_only: Whether to include only what this instance has lost
+            recently; otherwise all that was lost repeatedly is included. All
+            crashes of this are included: others that have seen it answered
+            recognise by two crashes that this is news.
         """
         repeated = [
-            (fingerprint, losses)
-            for fingerprint, losses in self._repeatedly.items()
+            (key, losses)
+            for key, losses in self._repeatedly.items()
             if not own_only or any(k.own and k.at >= since for k in losses)
         ]
         repeated.sort(
@@ -179,17 +246,17 @@
             reverse=True,
         )
         once = [
-            (fingerprint, [loss])
-            for fingerprint, loss in reversed(self._once.items())
+            (key, [loss])
+            for key, loss in reversed(self._once.items())
             if loss.own and loss.at >= since
         ]
         return repeated + once
 
     def _drop_surplus(self, now: float) -> None:
-        """Drops expired requests, then those with the least evidence."""
-        for fingerprint, losses in list(self._repeatedly.items()):
+        """Drops what is expired, then what has the least evidence."""
+        for key, losses in list(self._repeatedly.items()):
             if now - max(loss.at for loss in losses) >= REFUSED_S:
-                self._drop(fingerprint)
+                self._drop(key)
         while len(self._repeatedly) > MAX_LOST_REPEATEDLY:
             self._drop(
                 min(
@@ -201,53 +268,63 @@
                 )
             )
 
-    def _drop(self, fingerprint: int) -> None:
-        del self._repeatedly[fingerprint]
-        self._refused.pop(fingerprint, None)
+    def _drop(self, key: int) -> None:
+        del self._repeatedly[key]
+        self._refused.pop(key, None)
 
-    def _judge(self, fingerprint: int) -> None:
-        """Refuses a request if the crashes in which it was lost suffice."""
-        losses = self._repeatedly[fingerprint]
+    def _judge(self, key: int) -> None:
+        """Refuses what was lost in crashes that justify it."""
+        losses = self._repeatedly[key]
         newest_at = max(loss.at for loss in losses)
         recent = [k for k in losses if newest_at - k.at < LOSS_WINDOW_S]
-        count = count_separate((k.target, k.at) for k in recent)
-        if MIN_CRASHES <= count < MIN_CRASHES_WEAK:
-            count = count_separate(
-                (k.target, k.at) for k in self._strong(recent)
-            )
-        if count >= MIN_CRASHES:
-            self._refused[fingerprint] = newest_at + REFUSED_S
-
-    def _strong(self, losses: list[Loss]) -> list[Loss]:
-        """Returns the crashes that a request may well have caused.
+        if self._suffices(recent):
+            self._refused[key] = newest_at + REFUSED_S
 
-        These are the ones in which it did not only wait, and at whose time no
-        target crashed that did not hold it.
-        """
-        holders = {loss.target for loss in losses}
-        others_at = [
-            at for t, at in self._crashed_at.items() if t not in holders
-        ]
+    def _without_bystanders(self, losses: list[Loss]) -> list[Loss]:
+        """Returns the crashes at whose time only such targets crashed."""
+        others_at = self._crashed_at.others({loss.target for loss in losses})
         return [
             loss
             for loss in losses
-            if not loss.waited
-            and not any(abs(at - loss.at) < SIMULTANEOUS_S for at in others_at)
+            if not any(abs(at - loss.at) < SIMULTANEOUS_S for at in others_at)
         ]
 
 
-def count_separate(crashes: Iterable[tuple[int, float]]) -> int:
-    """Counts crashes of different targets; simultaneous ones count once.
+class LostRequests(LossRecord):
+    """Crashes in which requests were lost since they were last answered.
 
-    Args:
-      crashes: Incarnation of the target and time of each crash.
+    A request is named by its fingerprint.
     """
+
+    __slots__ = ()
+
+    def __init__(self, crash_times: CrashTimes | None = None) -> None:
+        """Creates a record without losses.
+
+        Args:
+          crash_times: All crashes that are known; by default only those in
+            which a request was lost.
+        """
+        super().__init__(crash_times or CrashTimes(), AnswerTimes(MAX_ANSWERED))
+
+    def _suffices(self, losses: list[Loss]) -> bool:
+        """See base class."""
+        count = count_separate(losses)
+        if MIN_CRASHES <= count < MIN_CRASHES_WEAK:
+            count = count_separate(
+                k for k in self._without_bystanders(losses) if not k.weak
+            )
+        return count >= MIN_CRASHES
+
+
+def count_separate(losses: Iterable[Loss]) -> int:
+    """Counts crashes of different targets; simultaneous ones count once."""
     count = 0
     last_at = float("-inf")
     counted: set[int] = set()
-    for target, at in sorted(crashes, key=lambda crash: crash[1]):
-        if target not in counted and at - last_at >= SIMULTANEOUS_S:
+    for loss in sorted(losses, key=lambda loss: loss.at):
+        if loss.target not in counted and loss.at - last_at >= SIMULTANEOUS_S:
             count += 1
-            last_at = at
-            counted.add(target)
+            last_at = loss.at
+            counted.add(loss.target)
     return count
--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -1,7 +1,6 @@
 """Validates a target's response and relays it to the caller."""
 
 import asyncio
-from collections.abc import Callable
 
 from carobsail import (
     calls,
@@ -34,7 +33,6 @@
     __slots__ = (
         "_header_codec",
         "_metrics",
-        "_on_answer_begun",
         "_prompt_cache",
     )
 
@@ -43,7 +41,6 @@
         header_codec: headercodec.HeaderCodec,
         prompt_cache: promptcache.PromptCacheIndex,
         metrics: telemetry.Metrics,
-        on_answer_begun: Callable[[calls.Call], None],
     ) -> None:
         """Creates a relay.
 
@@ -51,10 +48,8 @@
           header_codec: Reads and writes the headers of the deployment.
           prompt_cache: Records which prompts an engine has processed.
           metrics: Counters and timings.
-          on_answer_begun: Called when the first event of a stream arrives.
         """
         self._header_codec = header_codec
-        self._on_answer_begun = on_answer_begun
         self._prompt_cache = prompt_cache
         self._metrics = metrics
 
@@ -187,7 +182,6 @@
                 load.finish_prompt()
                 now = asyncio.get_running_loop().time()
                 call.first_event_s = now - call.sent_at
-                self._on_answer_begun(call)
                 self._prompt_cache.record_prompt(
                     target.entry.identity,
                     f"{call.requirements.model}/{call.requirements.adapter}",
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -192,10 +192,7 @@
         self._pools = targetpools.TargetPools()
         self._prompt_cache = promptcache.PromptCacheIndex()
         self._relay = responserelay.ResponseRelay(
-            header_codec,
-            self._prompt_cache,
-            metrics,
-            self.crash_guard.record_answer,
+            header_codec, self._prompt_cache, metrics
         )
         self._changed = asyncio.Event()
         # Time-outs of the requests in progress.
@@ -739,7 +736,9 @@
                 self._record_latency(call, ended)
         if result is None:
             target.record_success()
-            self.crash_guard.record_answer(call)
+            if not resumes or call.first_event_s is not None:
+                # A resumed stream may have had nothing left to be generated.
+                self.crash_guard.record_answer(call)
             return None
         call.requirements.excluded.add(target.entry.identity)
         if result.outcome is errors.Outcome.NOT_RUN:
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -68,19 +68,22 @@
 
     Attributes:
       incarnation: Hash of the target's identity and start.
-      traits: Traits of the one request that the target had begun to answer, or
-        fingerprints of requests that were lost with it.
+      traits: Traits of the one request that the target had begun to answer,
+        fingerprints of requests that were lost with it, or parts of their
+        prompts.
       begun: Whether the target had begun to answer the request.
       age_s: Seconds since the crash.
-      waited: Whether the lost requests were queued behind others when they
-        were sent.
+      weak: Whether the lost requests were queued behind others when they were
+        sent, or the target had been answering them for long.
+      parts: Whether the traits are parts of the prompts of lost requests.
     """
 
     incarnation: int
     traits: list[int]
     begun: bool
     age_s: float
-    waited: bool = False
+    weak: bool = False
+    parts: bool = False
 
 
 class AnsweredTrait(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/eventloops.py
+++ b/tests/eventloops.py
@@ -1,6 +1,7 @@
 """Event loops of the tests, which abort connections that a test leaves open."""
 
 import asyncio
+import math
 import weakref
 
 import async_solipsism
@@ -59,3 +60,14 @@
 
 class MemoryLoop(_AbortsConnections, async_solipsism.EventLoop):
     """A loop with an in-memory network and virtual time."""
+
+    def call_at(self, when, callback, *args, context=None):
+        """See base class.
+
+        The clock advances in ticks. A timer between two ticks would fire at the
+        one before, and code that waits for that time would wait again without
+        end.
+        """
+        tick_s = self._clock_resolution
+        when = math.ceil(when / tick_s) * tick_s
+        return super().call_at(when, callback, *args, context=context)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -235,7 +235,7 @@
     for number in range(5):
         assert observations.refusal_left_s(traits, number) == 0.0
         observations.record_crash(
-            (DEADLY,), number, False, float(number), waited=number > 0
+            (DEADLY,), number, False, float(number), weak=number > 0
         )
     assert observations.refusal_left_s(traits, 4.0) > 0.0
 
