Send no requests to targets that say they are leaving

Cause: nothing read the statement of a target in its responses that it is leaving; only its entry in the store counted. Ruled out: that only the entries kept during an outage of the store let them through, since the users saw the same at a plain service with the store up.

Change: the adapter reads the statement from each response, also to orders and requests for reports; `targetregistry` remembers the incarnation, which gets no first send, retry, resumed stream or request that waited. A newer entry does not undo it, a restart does. Logged once as target_says_leaving and counted.

Conclusion: a target knows first that it is leaving.

--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -74,6 +74,7 @@
         self._lease = lease
         self._targets = targets
         self._order_client = order_client
+        order_client.on_leaving = self._record_leaving
         self._boot_clock = boot_clock
         self._on_holdings_changed = on_holdings_changed
         self._on_plan_changed = on_plan_changed
@@ -177,7 +178,7 @@
         present = {}
         for target in self._targets.all():
             service = table.services.get(target.entry.service)
-            if service and service.pool and not target.entry.leaving:
+            if service and service.pool and not target.leaving:
                 present[target.entry.identity] = target
         for identity in [i for i in self._records if i not in present]:
             del self._records[identity]
@@ -194,6 +195,18 @@
             ):
                 self._records[identity] = EngineRecord(identity, entry.address)
 
+    def _record_leaving(self, identity: str) -> None:
+        """Gives no further orders to an engine that says it is leaving."""
+        target = self._targets.get(identity)
+        if target is not None and self._targets.record_leaving(target.entry):
+            telemetry.log(
+                _log,
+                "target_says_leaving",
+                target=identity,
+                entry_revision=target.entry.revision,
+                entry_leaving=target.entry.leaving,
+            )
+
     def _read_engines(self, now: float) -> None:
         for record in self._records.values():
             overdue = (
--- a/carobsail/engineorders.py
+++ b/carobsail/engineorders.py
@@ -11,6 +11,7 @@
 import abc
 import dataclasses
 import enum
+from collections.abc import Callable
 
 from carobsail import errors
 
@@ -75,7 +76,16 @@
 
 
 class EngineOrderClient(abc.ABC):
-    """Sends orders and requests for reports to engines."""
+    """Sends orders and requests for reports to engines.
+
+    Attributes:
+      on_leaving: Called with the identity of an engine that states in a
+        response that it is leaving.
+    """
+
+    def __init__(self) -> None:
+        # Replaced by the code that keeps the list of targets.
+        self.on_leaving: Callable[[str], None] = lambda _: None
 
     @abc.abstractmethod
     async def order(
--- a/carobsail/headercodec.py
+++ b/carobsail/headercodec.py
@@ -77,6 +77,7 @@
       retry_after_s: Seconds after which to retry, or None.
       load: Running requests, waiting requests and slots of the target, or None.
       encoded: Whether the body has a content coding that was not requested.
+      leaving: Whether the target states that it is leaving.
     """
 
     request_id: str | None
@@ -86,6 +87,7 @@
     retry_after_s: float | None
     load: tuple[int, int, int] | None
     encoded: bool
+    leaving: bool = False
 
 
 class HeaderCodec(abc.ABC):
--- a/carobsail/platform/engines.py
+++ b/carobsail/platform/engines.py
@@ -29,6 +29,7 @@
     __slots__ = ("_pools",)
 
     def __init__(self) -> None:
+        super().__init__()
         self._pools: dict[tuple[str, str], httpclient.ConnectionPool] = {}
 
     def close(self) -> None:
@@ -102,6 +103,8 @@
                 )
                 if isinstance(response, errors.Failure):
                     return response
+                if headers.says_leaving(response):
+                    self.on_leaving(identity)
                 content = await response.read_body(_MAX_RESPONSE_BYTES)
         except TimeoutError:
             return _failure(identity, "no answer", errors.Outcome.UNKNOWN)
--- a/carobsail/platform/headers.py
+++ b/carobsail/platform/headers.py
@@ -21,6 +21,7 @@
 SEAL = "carobsail-server-seal"
 NOT_EXECUTED = "carobsail-not-executed"
 SERVER_LOAD = "carobsail-server-load"
+SERVER_LEAVING = "server-leaving"
 
 # Numbers from there on do not count anything; floats cannot hold all of them.
 _MAX_COUNT = 2**31
@@ -123,6 +124,7 @@
             _parse_retry_after(response.header("retry-after")),
             _parse_load(response.header(SERVER_LOAD)),
             encoding not in (None, "", "identity"),
+            says_leaving(response),
         )
 
     def caller_headers(self, response: httpclient.Response) -> Headers:
@@ -142,6 +144,11 @@
         return headers
 
 
+def says_leaving(response: httpclient.Response) -> bool:
+    """Whether an engine states in a response that it is leaving."""
+    return response.header(SERVER_LEAVING) not in (None, "", "0")
+
+
 def _connection_options(headers: Headers) -> frozenset[str]:
     """Returns the headers that the Connection header lists."""
     return frozenset(
--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -1,6 +1,7 @@
 """Validates a target's response and relays it to the caller."""
 
 import asyncio
+from collections.abc import Callable
 
 from carobsail import (
     calls,
@@ -33,6 +34,7 @@
     __slots__ = (
         "_header_codec",
         "_metrics",
+        "_on_leaving",
         "_prompt_cache",
     )
 
@@ -41,6 +43,7 @@
         header_codec: headercodec.HeaderCodec,
         prompt_cache: promptcache.PromptCacheIndex,
         metrics: telemetry.Metrics,
+        on_leaving: Callable[[calls.Call, targetregistry.Target], None],
     ) -> None:
         """Creates a relay.
 
@@ -48,8 +51,10 @@
           header_codec: Reads and writes the headers of the deployment.
           prompt_cache: Records which prompts an engine has processed.
           metrics: Counters and timings.
+          on_leaving: Called when a target states that it is leaving.
         """
         self._header_codec = header_codec
+        self._on_leaving = on_leaving
         self._prompt_cache = prompt_cache
         self._metrics = metrics
 
@@ -77,6 +82,9 @@
             if isinstance(response, errors.Failure):
                 return response
             response_metadata = self._header_codec.parse_response(response)
+            if response_metadata.leaving:
+                # Also valid in a response to another request of this instance.
+                self._on_leaving(call, target)
             if response_metadata.request_id in (
                 None,
                 "",
--- a/carobsail/serving.py
+++ b/carobsail/serving.py
@@ -192,7 +192,7 @@
         self._pools = targetpools.TargetPools()
         self._prompt_cache = promptcache.PromptCacheIndex()
         self._relay = responserelay.ResponseRelay(
-            header_codec, self._prompt_cache, metrics
+            header_codec, self._prompt_cache, metrics, self._record_leaving
         )
         self._changed = asyncio.Event()
         # Time-outs of the requests in progress.
@@ -249,6 +249,24 @@
             )
         )
 
+    def _record_leaving(
+        self, call: calls.Call, target: targetregistry.Target
+    ) -> None:
+        """Sends no further requests to a target that says it is leaving."""
+        if not self.registry.record_leaving(target.entry):
+            return
+        self._metrics.count("targets_leaving_by_response")
+        telemetry.log(
+            _log,
+            "target_says_leaving",
+            request=call.metadata.request_id,
+            target=target.entry.identity,
+            entry_revision=target.entry.revision,
+            entry_leaving=target.entry.leaving,
+            copy_age_s=self.target_list_age_s(),
+        )
+        self.wake_waiting()
+
     def take_adapter_uses(self) -> set[tuple[str, str, str]]:
         """Returns (target, model, adapter) of sends since the last call."""
         uses, self._adapter_uses = self._adapter_uses, set()
--- a/carobsail/targetregistry.py
+++ b/carobsail/targetregistry.py
@@ -3,8 +3,13 @@
 The entries in the store say which targets exist and which are leaving. Entries
 that expire during an outage of the store are kept until `EXPIRY_GRACE_S` after
 its end, because live targets have renewed their entries by then.
+
+A target also states in its responses that it is leaving. The store may report
+this seconds later, and not at all while it is away, so the statement holds
+whatever the entries say, for as long as the process of that target runs.
 """
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Iterable
@@ -24,6 +29,8 @@
 HELD_REPORT_VALID_S = 3.0
 # Weight of the newest outcome in the moving average of a target's failures.
 FAILURE_WEIGHT = 0.1
+# Limit of the incarnations of targets that are remembered as leaving.
+MAX_LEAVING = 4096
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -95,6 +102,8 @@
       reported_running: Running requests as last reported by the target.
       reported_waiting: Waiting requests as last reported by the target.
       reported_at: When the target reported them.
+      said_leaving: Whether the target has stated in a response that it is
+        leaving.
     """
 
     entry: TargetEntry
@@ -116,6 +125,12 @@
     reported_running: int = 0
     reported_waiting: int = 0
     reported_at: float = float("-inf")
+    said_leaving: bool = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it accepts no new requests."""
+        return self.entry.leaving or self.said_leaving
 
     def record_success(self) -> None:
         """Records a response; resets the backoff and ends the avoidance."""
@@ -179,10 +194,14 @@
 class TargetRegistry:
     """Registry of all targets known to one instance."""
 
-    __slots__ = ("_outage_until", "_targets")
+    __slots__ = ("_outage_until", "_said_leaving", "_targets")
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
+        # Identity and start time of targets, those that said it first in front.
+        self._said_leaving: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
         self._outage_until = float("-inf")
 
     def __len__(self) -> int:
@@ -202,7 +221,7 @@
         return [
             target
             for target in self._targets.values()
-            if target.entry.service == service and not target.entry.leaving
+            if target.entry.service == service and not target.leaving
         ]
 
     def record_store_contact(self, reachable: bool, now: float) -> None:
@@ -214,6 +233,26 @@
         if not reachable:
             self._outage_until = now + EXPIRY_GRACE_S
 
+    def record_leaving(self, entry: TargetEntry) -> bool:
+        """Records that a target stated in a response that it is leaving.
+
+        Args:
+          entry: Entry of the target to which the request was sent.
+
+        Returns:
+          Whether this was unknown.
+        """
+        key = (entry.identity, entry.start_time_ms)
+        if key in self._said_leaving:
+            return False
+        self._said_leaving[key] = None
+        if len(self._said_leaving) > MAX_LEAVING:
+            self._said_leaving.popitem(last=False)
+        target = self._targets.get(entry.identity)
+        if target and target.entry.start_time_ms == entry.start_time_ms:
+            target.said_leaving = True
+        return True
+
     def put(self, entry: TargetEntry, now: float) -> EntryChange:
         """Stores an entry; an older revision is ignored.
 
@@ -227,6 +266,10 @@
         ):
             # New, or restarted under the same identity: the old state is void.
             known = self._targets[entry.identity] = Target(entry)
+            known.said_leaving = (
+                entry.identity,
+                entry.start_time_ms,
+            ) in self._said_leaving
             change = EntryChange.REGISTRATION
         elif entry.revision < known.entry.revision:
             return EntryChange.NONE
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -128,6 +128,21 @@
     assert CODEC.parse_response(malformed).load is None
 
 
+@pytest.mark.parametrize(
+    "stated, leaving",
+    [
+        ([("server-leaving", "1")], True),
+        ([("server-leaving", "0")], False),
+        ([("server-leaving", "")], False),
+        ([], False),
+    ],
+)
+def test_statement_of_a_leaving_target(stated, leaving):
+    """A target that does not leave must not be taken out of service."""
+    response = FakeResponse(200, stated)
+    assert CODEC.parse_response(response).leaving is leaving
+
+
 HUGE = "9" * 400
 
 
