Limit the memory of all responses that are being received

Cause: each response has a limit, up to 4 MB for a plain body and 256 KB for an event, and nothing bounded their sum. Ruled out: a single response that grows without a limit, by 12 kinds of it.

Change: `bufferlimit`. Bodies and incomplete events from targets share 32 MB, reports and answers to orders 8 MB; beyond that the largest one is given up.

Before, tests/test_endless.py on: 7 of 29 cases exceed 100 MB, half of the smallest machine: 129 MB for 30 plain responses, 131 MB for 300 streams. After: all pass, in 26 s.

Conclusion: limits by response need one for their sum.

--- a/carobsail/eventstream.py
+++ b/carobsail/eventstream.py
@@ -26,6 +26,11 @@
         self._last_events = b""
         self.finished = False
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._partial)
+
     @property
     def overlong(self) -> bool:
         """Whether the incomplete event exceeds the maximum size."""
--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -10,11 +10,12 @@
 import asyncio
 import functools
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractContextManager
 from typing import Any
 
 import h11
 
-from carobsail import errors, responsebody, sockets
+from carobsail import bufferlimit, errors, responsebody, sockets
 
 _READ_BYTES = 65_536
 # Limit on the interim (1xx) responses before a final one. A server that works
@@ -23,6 +24,8 @@
 # Below the idle timeout of common servers, so that a reused connection is
 # rarely closed by the server at the same moment.
 _MAX_IDLE_S = 15.0
+# Bytes of bodies that one pool buffers unless it shares a limit with others.
+_MAX_BUFFERED_BYTES = 67_108_864
 # Servers send a refusal in one piece. A further piece takes a round trip of
 # 40 ms between regions, and more on a busy link.
 _REFUSAL_BODY_TIMEOUT_S = 0.2
@@ -254,23 +257,39 @@
             raised; None if the calling code limits the time.
         """
         parts: list[bytes] = []
-        size = 0
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(idle_timeout_s) as idle_timeout:
-            async for chunk in self.chunks():
-                if isinstance(chunk, errors.Failure):
-                    return chunk
-                size += len(chunk)
-                if size > limit:
-                    await self.close()
-                    return self._pool.failure(
-                        errors.Reason.BODY_TOO_LARGE,
-                        f"the answer exceeds {limit} bytes",
-                    )
-                parts.append(chunk)
-                if idle_timeout_s is not None:
-                    idle_timeout.reschedule(loop.time() + idle_timeout_s)
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        with self.buffer() as buffer:
+            async with asyncio.timeout(idle_timeout_s) as idle_timeout:
+                async for chunk in self.chunks():
+                    if isinstance(chunk, errors.Failure):
+                        return chunk
+                    buffer.resize(buffer.size + len(chunk))
+                    if buffer.size > limit:
+                        await self.close()
+                        return self._pool.failure(
+                            errors.Reason.BODY_TOO_LARGE,
+                            f"the answer exceeds {limit} bytes",
+                        )
+                    parts.append(chunk)
+                    if idle_timeout_s is not None:
+                        idle_timeout.reschedule(loop.time() + idle_timeout_s)
+            if buffer.given_up:
+                # The abort looks like the end of a body without a length.
+                return self._pool.failure(
+                    errors.Reason.BODY_TOO_LARGE,
+                    f"{buffer.size} bytes, while too many are buffered",
+                )
+            return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def buffer(self) -> AbstractContextManager[bufferlimit.Buffer]:
+        """Counts bytes of this response against the limit of the pool."""
+        connection = self._connection
+
+        def abort() -> None:
+            if connection is not None:
+                connection.writer.transport.abort()
+
+        return self._pool.buffers.buffer(abort)
 
     async def read_refusal_body(self, limit: int) -> bytes:
         """Returns the body of a refusal, or b"" if it does not end soon.
@@ -305,6 +324,7 @@
 
     Attributes:
       address: `host:port` of the server.
+      buffers: Limit of the bodies that are being received.
       name: Name of the server in failures.
       connections_opened: Number of connections opened.
     """
@@ -319,6 +339,7 @@
         "_connect_timeout_s",
         "accept_close_delimited",
         "address",
+        "buffers",
         "connections_opened",
         "name",
     )
@@ -331,6 +352,7 @@
         name: str = "",
         idle_s: float = _MAX_IDLE_S,
         accept_close_delimited: bool = False,
+        buffers: bufferlimit.BufferLimit | None = None,
     ) -> None:
         """Creates a pool without connections.
 
@@ -342,8 +364,11 @@
           idle_s: Seconds after which an unused connection is closed.
           accept_close_delimited: Whether to accept a body that has neither a
             length nor chunked coding, and ends when the connection is closed.
+          buffers: Limit that the pool shares with others; one of its own by
+            default.
         """
         self.address = address
+        self.buffers = buffers or bufferlimit.BufferLimit(_MAX_BUFFERED_BYTES)
         self.name = name or address
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
--- a/carobsail/platform/engines.py
+++ b/carobsail/platform/engines.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carobsail import engineorders, errors, httpclient
+from carobsail import bufferlimit, engineorders, errors, httpclient
 from carobsail.engineorders import EngineReport, Order, Verdict
 from carobsail.platform import documents, headers
 
@@ -15,6 +15,8 @@
 _CONNECTIONS_PER_ENGINE = 4
 _IDLE_CONNECTION_S = 3.0
 _MAX_RESPONSE_BYTES = 1_048_576
+# Limit of all responses that are being received. A report has some kilobytes.
+_MAX_BUFFERED_BYTES = 8_388_608
 _VERDICT_BY_STATUS = {
     200: Verdict.HOLDS_ALREADY,
     202: Verdict.ACCEPTED,
@@ -26,10 +28,11 @@
 class HttpEngineOrderClient(engineorders.EngineOrderClient):
     """See base class; calls the engines over HTTP."""
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_buffers", "_pools")
 
     def __init__(self) -> None:
         super().__init__()
+        self._buffers = bufferlimit.BufferLimit(_MAX_BUFFERED_BYTES)
         self._pools: dict[tuple[str, str], httpclient.ConnectionPool] = {}
 
     def close(self) -> None:
@@ -91,6 +94,7 @@
                 _CONNECT_TIMEOUT_S,
                 identity,
                 _IDLE_CONNECTION_S,
+                buffers=self._buffers,
             )
         request_headers = [
             ("content-type", "application/json"),
--- a/carobsail/responserelay.py
+++ b/carobsail/responserelay.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from carobsail import (
+    bufferlimit,
     calls,
     errors,
     headercodec,
@@ -137,7 +138,10 @@
         if call.route.retry_safety is routetable.RetrySafety.STREAM and (
             200 <= response.status < 300
         ):
-            return await self._relay_stream(call, target, pool, response, load)
+            with response.buffer() as buffer:
+                return await self._relay_stream(
+                    call, target, pool, response, load, buffer
+                )
         return await self._relay_whole(call, pool, response)
 
     async def _relay_whole(
@@ -166,6 +170,7 @@
         pool: httpclient.ConnectionPool,
         response: httpclient.Response,
         load: targetpools.TargetLoad,
+        buffer: bufferlimit.Buffer,
     ) -> errors.Failure | None:
         """Relays complete events as they arrive.
 
@@ -179,6 +184,7 @@
             if isinstance(chunk, errors.Failure):
                 return chunk
             events = call.cursor.feed(chunk)
+            buffer.resize(call.cursor.partial_bytes)
             if not events and call.cursor.overlong:
                 await response.close()
                 return pool.failure(
--- a/carobsail/targetpools.py
+++ b/carobsail/targetpools.py
@@ -1,20 +1,24 @@
 """Connection pools to targets, and the load of requests in flight."""
 
-from carobsail import httpclient, targetchoice, targetregistry
+from carobsail import bufferlimit, httpclient, targetchoice, targetregistry
 
 # If no connection opens within this time, the request counts as not sent. The
 # round trip between regions takes 40 ms.
 CONNECT_TIMEOUT_S = 0.4
 # Engines may close idle connections earlier than they announce.
 IDLE_CONNECTION_S = 3.0
+# Limit of the responses that are being buffered. Instances run in 200 MB, of
+# which they use a fifth otherwise.
+MAX_BUFFERED_BYTES = 33_554_432
 
 
 class TargetPools:
     """Connection pools by identity and address of the target."""
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_buffers", "_pools")
 
     def __init__(self) -> None:
+        self._buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
         self._pools: dict[tuple[str, str], httpclient.ConnectionPool] = {}
 
     def get(
@@ -31,6 +35,7 @@
                 entry.identity,
                 IDLE_CONNECTION_S,
                 accept_close_delimited=True,
+                buffers=self._buffers,
             )
         return pool
 
