Free the request slot of an unsolicited response without a length

Cause: `skip_unsolicited_response` took the connection off a response that only the end of its connection ends, and then closed the response alone, so neither the connection nor its slot was released.

Change: the connection is taken off only if the response shows where its body ends; otherwise the response closes it. Before, the new test fails at the second request of a pool with one slot; after, it passes.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -506,8 +506,10 @@
         Returns:
           The next response on the same connection.
         """
-        connection = response.detach_connection()
-        if connection is None or not response.is_self_delimiting():
+        connection = None
+        if response.is_self_delimiting():
+            connection = response.detach_connection()
+        if connection is None:
             await response.close()
             return self.failure(
                 errors.Reason.CONNECTION_LOST, "an answer without a request"
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -300,3 +300,17 @@
     writers[0].write_eof()
     assert await call(pool) == b"ok"
     assert pool.connections_opened == 2
+
+
+async def test_unsolicited_response_without_a_length_frees_its_slot():
+    """Each such response took a request slot of the pool for good."""
+    server = await build.scripted_server(
+        *[b"HTTP/1.1 200 OK\r\n\r\nx"] * 3, WHOLE
+    )
+    pool = build.pool(build.port_of(server), limit=1)
+    for _ in range(3):
+        response = await pool.request("GET", "/", [], b"")
+        skipped = await pool.skip_unsolicited_response(response, "GET", 1000)
+        assert skipped.reason is errors.Reason.CONNECTION_LOST
+    response = await pool.request("GET", "/", [], b"")
+    assert response.status == 200
