Report parts that were lost once for as long as lost requests

Cause: lost parts that no target has answered were reported with each summary for ten minutes, up to 64 of them, twice a second from each instance, also rare sound ones that are not asked for again. Change: those lost once are reported for 10 s, like lost requests; a coordinator that is replaced loses one crash of a part at most, since parts lost twice are known to all.

--- a/carobsail/crashes.py
+++ b/carobsail/crashes.py
@@ -393,9 +393,7 @@
             for o in chosen
         ]
         crashes += _loss_reports(
-            self._lost_parts.reported(
-                now - lostrequests.LOSS_WINDOW_S, own_only
-            ),
+            self._lost_parts.reported(now - REPORT_S, own_only),
             MAX_REPORTED_PART_LOSSES,
             now,
             parts=True,
