Count crashes of all targets when lost parts are judged

Cause: an empty CrashTimes is false, since it has a length, so LostRequests made one of its own and LostParts did not see the crashes of targets that held no request with the part. A part that was lost twice with a rack would have been refused after two rounds.

Change: the default applies only without an argument; the pool's limit of buffers is written alike. Before, one of two cases of test_part_lost_in_simultaneous_crashes fails (refused, with three other targets crashing in each round); after, both pass.

--- a/carobsail/httpclient.py
+++ b/carobsail/httpclient.py
@@ -368,7 +368,9 @@
             default.
         """
         self.address = address
-        self.buffers = buffers or bufferlimit.BufferLimit(_MAX_BUFFERED_BYTES)
+        if buffers is None:
+            buffers = bufferlimit.BufferLimit(_MAX_BUFFERED_BYTES)
+        self.buffers = buffers
         self.name = name or address
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
--- a/carobsail/lostrequests.py
+++ b/carobsail/lostrequests.py
@@ -305,7 +305,9 @@
           crash_times: All crashes that are known; by default only those in
             which a request was lost.
         """
-        super().__init__(crash_times or CrashTimes(), AnswerTimes(MAX_ANSWERED))
+        if crash_times is None:
+            crash_times = CrashTimes()
+        super().__init__(crash_times, AnswerTimes(MAX_ANSWERED))
 
     def _suffices(self, losses: list[Loss]) -> bool:
         """See base class."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -217,6 +217,29 @@
         assert not refused(observations, Traits((FIRST, SUBJECT)), now)
 
 
+@pytest.mark.parametrize("bystanders", [0, 3])
+def test_part_lost_in_simultaneous_crashes(bystanders):
+    """A part was refused because its targets' rack lost power twice.
+
+    Targets that did not hold the part crash with those that did. Without them,
+    several requests with the part have arrived at once, and it is refused.
+    """
+    observations = CrashObservations()
+    observations.record_answer(Traits((FIRST,)), 0.0)
+    for at in (1.0, 4.0):
+        for number in range(3 + bystanders):
+            parts = (FIRST, DEADLY) if number < 3 else (FIRST,)
+            request = Traits(parts, 100 + number)
+            target, now = hash((at, number)), at + 0.001 * number
+            observations.record_crash(
+                (request.fingerprint,), target, False, now
+            )
+            observations.record_lost_parts(request, target, now, weak=False)
+    is_refused = refused(observations, Traits((FIRST, DEADLY), 9), 5.0)
+    assert is_refused is not bool(bystanders)
+    assert not refused(observations, Traits((FIRST,), 9), 5.0)
+
+
 # Requests that a target begins to answer in a second, and the time from the
 # head of a response to its first event.
 BEGUN_PER_S = 5
