Let the soak crash engines in all states and check statements of leaving

Engines of the soak wrote the head of an answer before they crashed on a prompt; now it is nothing, the head or up to two events, drawn for each request. Targets that leave say so in their answers, and a new check finds requests that an instance sends later than the drain bound after it has passed on such an answer. The check fails on a record made for it (test_each_check_finds_its_violation).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -201,6 +201,26 @@
                 yield Violation("drain", request.request_id, detail)
 
 
+@check("leaving")
+def targets_that_say_so_get_no_requests(record: Record) -> Iterator[Violation]:
+    """An instance sends to a target too long after it passed on its word."""
+    told_at: dict[tuple[str, str, int], float] = {}
+    for request, runs in _requests_with_runs(record):
+        if runs and runs[-1].says_leaving and request.complete:
+            key = (request.instance, runs[-1].target, runs[-1].born)
+            told_at[key] = min(request.ended_at, told_at.get(key, 1e18))
+    for request, runs in _requests_with_runs(record):
+        for run in runs:
+            key = (request.instance, run.target, run.born)
+            told = told_at.get(key, 1e18)
+            late_s = request.sent_at - told - DRAIN_BOUND_S
+            if late_s > 0.0 and record.undisturbed(
+                {request.instance}, told, run.started_at
+            ):
+                detail = f"{late_s:.2f} s too late to {run.target}"
+                yield Violation("leaving", request.request_id, detail)
+
+
 @check("config")
 def configurations_do_not_go_back(record: Record) -> Iterator[Violation]:
     """An instance applies an older version than to an earlier request."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -95,6 +95,8 @@
       resumed_after: Number of the event after which a stream was resumed; 0 if
         it runs from the start.
       signature: Signature that the target put into the answer.
+      born: Start of the target, in Unix milliseconds.
+      says_leaving: Whether the answer says that the target is leaving.
     """
 
     request_id: str
@@ -104,6 +106,8 @@
     ended_at: float = 0.0
     resumed_after: int = 0
     signature: str = ""
+    born: int = 0
+    says_leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -184,6 +184,10 @@
     def _held_models(self) -> dict[str, object]:
         return {}
 
+    def _statement(self) -> list[tuple[str, str]]:
+        """Returns the header with which a leaving target says so."""
+        return [("server-leaving", "1")] if self._leaving else []
+
     async def _handle(
         self, request: httpserver.Request, responder: httpserver.Responder
     ) -> None:
@@ -209,13 +213,18 @@
         name = request.header("carobsail-request-id") or ""
         if self._running >= SLOTS or not self._can_serve(request):
             status = 421 if self._can_serve(request) is None else 503
-            headers = [("carobsail-not-executed", "1")]
+            headers = [("carobsail-not-executed", "1"), *self._statement()]
             await responder.send(status, headers, b"")
             return
         loop = asyncio.get_running_loop()
         signature = f"{self.identity}.{self._rng.getrandbits(32):08x}"
         run = Run(
-            name, self.identity, self.service, loop.time(), signature=signature
+            name,
+            self.identity,
+            self.service,
+            loop.time(),
+            signature=signature,
+            born=self._born,
         )
         self._record.add_run(run)
         self._running += 1
@@ -247,7 +256,9 @@
             ("carobsail-request-id", run.request_id),
             ("carobsail-server-seal", run.signature),
             ("carobsail-server-load", f"{self._running},0,{SLOTS}"),
+            *self._statement(),
         ]
+        run.says_leaving = self._leaving
         if self.mode == "errors" and self._rng.random() < 0.4:
             await responder.send(500, headers, b"failed")
             return
@@ -476,15 +487,17 @@
         run.resumed_after = int(request.header("last-event-id") or 0)
         count = expected_event_count(run.request_id)
         kind = ("content-type", "text/event-stream")
-        await responder.start(200, [*headers, kind])
         prompt = request.header("carobsail-prompt-prefix") or ""
+        events_before_crash = count
         if f",{DEADLY_PART}:" in prompt:
-            self._record.deadly_crashes.append(
-                asyncio.get_running_loop().time()
-            )
-            self.crash_task = asyncio.create_task(self._crash_and_restart())
-            await asyncio.Event().wait()
+            # Nothing, the head, or events; drawn anew for each request.
+            events_before_crash = random.Random(run.request_id).randrange(-1, 3)
+            if events_before_crash < 0:
+                await self._crash_on_prompt()
+        await responder.start(200, [*headers, kind])
         for number in range(run.resumed_after + 1, count + 1):
+            if number > run.resumed_after + events_before_crash:
+                await self._crash_on_prompt()
             await asyncio.sleep(EVENT_INTERVAL_S)
             event = expected_event(run.request_id, number)
             if self.mode in ("cut", "lost") and number == count // 2 + 1:
@@ -494,6 +507,12 @@
             await responder.write(event)
         await responder.finish()
 
+    async def _crash_on_prompt(self) -> None:
+        """Crashes because of the prompt of a request; does not return."""
+        self._record.deadly_crashes.append(asyncio.get_running_loop().time())
+        self.crash_task = asyncio.create_task(self._crash_and_restart())
+        await asyncio.Event().wait()
+
 
 def _requested_model(request: httpserver.Request) -> tuple[str, str]:
     """Returns the model and the adapter that a request names."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,6 +88,17 @@
     return result
 
 
+def after_its_statement(after_s):
+    """Returns a record of a request to a target that said it is leaving."""
+    first = sent_request(request_id="a", sent_at=9.0, ended_at=10.0)
+    later = sent_request(sent_at=10.0 + after_s, ended_at=20.0)
+    runs = {
+        "a": [run(request_id="a", says_leaving=True)],
+        REQUEST_ID: [run(started_at=14.0)],
+    }
+    return Record(requests={"a": first, REQUEST_ID: later}, runs=runs)
+
+
 def denied(request, status=404):
     return dataclasses.replace(request, status=status, signature="", body=b"")
 
@@ -206,6 +217,10 @@
         deadly_lookups(6.5),
     ),
     "answered": (copies(LATE_REQUEST), copies(LATE_REQUEST, count=7)),
+    "leaving": (
+        after_its_statement(2.6),
+        after_its_statement(2.4),
+    ),
 }
 
 
