Give the instances of the stop tests an order client

They get the real client, which opens no connection there; bounds and assertions are unchanged, and all pass. A test of the coordinator is added: an engine that says it is leaving is dropped from its records. The program is unchanged.

--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -504,6 +504,19 @@
     assert not any(any(refusals(group, s)) for s in sound)
 
 
+async def test_engine_that_says_it_is_leaving_gets_no_orders(group):
+    """Models were placed on an engine that answered that it is leaving."""
+    await group.wait_for_holder()
+    (number,) = group.holders()
+    coordinator = group.instances[number]._coordinator
+    await asyncio.sleep(1.0)
+    assert "e1" in coordinator._records
+    coordinator._record_leaving("e1")
+    await asyncio.sleep(1.0)
+    assert "e1" not in coordinator._records
+    assert group.handlers[number].registry.get("e1").leaving
+
+
 async def test_new_instance_learns_of_observed_crashes(group):
     """An instance that started anew sent what the others refused."""
     traits = record_crashes(group, (7, 8), 0, 1)
--- a/tests/test_servinginstance.py
+++ b/tests/test_servinginstance.py
@@ -10,7 +10,7 @@
 from carobsail import servinginstance
 from carobsail.instancesettings import InstanceSettings
 from carobsail.keyvalue import Put
-from carobsail.platform import documents, headers
+from carobsail.platform import documents, engines, headers
 from carobsail.platform.store import PlatformStore
 from soak.storestandin import StoreStandin, serve
 
@@ -111,7 +111,7 @@
         PlatformStore(loaded.store),
         headers.PlatformHeaders(),
         documents.PlatformDocuments(),
-        None,
+        engines.HttpEngineOrderClient(),
         asyncio.get_running_loop().time,
         random.Random(1),
     )
