Show that a target said it is leaving when a request is explained

The line names the request whose response said so, and was left out for other requests of the same target. The new test failed before.

--- a/carobsail/explanation.py
+++ b/carobsail/explanation.py
@@ -19,6 +19,7 @@
         "target_avoided",
         "target_gone",
         "target_listed",
+        "target_says_leaving",
     }
 )
 _INSTANCE_EVENTS = frozenset(
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -52,6 +52,16 @@
     assert "prompt_parts=aa,bb" in text and "traits=00bb" in text
 
 
+def test_statement_of_a_target_of_a_request_is_shown():
+    """Why a target was not chosen stood only beside another request."""
+    statement = (
+        "n1 time=2026-03-01T22:48:50.900Z level=info event=target_says_leaving "
+        "request=q2 target=e4 entry_leaving=false"
+    )
+    lines = [*LOG, *loglines.parse_lines([statement])]
+    assert "entry_leaving=false" in "\n".join(explain("q1", lines))
+
+
 def test_section_length_is_limited():
     """A flapping target must not fill the screen."""
     many = [LOG[6]] * 100
