Limit how often known crashes are sent to all instances

Cause: the coordinator sent all known crashes to all instances at once whenever an instance reported news, and with each other update for 5 s. With the losses of prompt parts and of broken streams news come from many instances at once.

Before, the new test sends 100 kB/s to each instance (4.4 MB/s for 44 of them, on a link of 3.75 MB/s); after, less than 8.5 kB/s. The other tests of coordination pass unchanged.

Conclusion: what is sent to all needs a limit of its own.

--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -26,6 +26,7 @@
     targetchoice,
     targetregistry,
     telemetry,
+    tokenbucket,
     unreachable,
 )
 
@@ -42,11 +43,16 @@
 # intervals between updates with loads, as one datagram may be lost.
 MIN_LOAD_VALID_S = 2.0
 LOAD_VALID_INTERVALS = 2.2
-# Each update repeats the known crashes for this long after the last news, and
-# then one update in this time: they are kept for ten minutes, and an instance
-# that starts must learn of them before it is expected to know them.
+# The known crashes are repeated at the first interval for this long after the
+# last news, and then at the second one: they are kept for ten minutes, and an
+# instance that starts must learn of them before it is expected to know them.
 CRASH_NEWS_S = 5.0
+CRASH_NEWS_INTERVAL_S = 0.5
 CRASH_REPEAT_S = 1.0
+# News of many instances at once, each sent to all, saturated the link between
+# regions. Some follow each other at once: a crash, then answers of others.
+CRASH_NEWS_PER_S = 2.0
+CRASH_NEWS_BURST = 4.0
 # A coordinator that repeats no crashes for this long does not know them, for
 # example because its process was restarted; the instances then report all that
 # they know.
@@ -195,6 +201,10 @@
         self._unsent_holdings: dict[str, summaries.Holding] = {}
         self._incoming_models_unsent = False
         self._broadcast_timer: asyncio.TimerHandle | None = None
+        self._crash_news_timer: asyncio.TimerHandle | None = None
+        self._crash_news_bucket = tokenbucket.TokenBucket(
+            CRASH_NEWS_PER_S, CRASH_NEWS_BURST, 0.0
+        )
         self._summary_timer: asyncio.TimerHandle | None = None
         self._sent_demand: dict[tuple[str, str], tuple[int, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -280,8 +290,7 @@
     def report_crash(self) -> None:
         """Schedules a report that a request may have crashed its target."""
         if self.lease.fence:
-            self._crash_news_at = asyncio.get_running_loop().time()
-            self._schedule_broadcast()
+            self._schedule_crash_news()
         else:
             self.schedule_urgent_summary()
 
@@ -436,8 +445,7 @@
             if self._request_handler.crash_guard.merge(
                 summary.crashes, summary.answered
             ):
-                self._crash_news_at = now
-                changed = True
+                self._schedule_crash_news()
         if changed:
             self._broadcast_update([], [], numbered=False)
 
@@ -561,6 +569,25 @@
         self._incoming_models_unsent = True
         self._schedule_broadcast()
 
+    def _schedule_crash_news(self) -> None:
+        """Sends the known crashes to all, together with further news."""
+        loop = asyncio.get_running_loop()
+        self._crash_news_at = loop.time()
+        if self._crash_news_timer is None:
+            wait_s = self._crash_news_bucket.wait_s(loop.time())
+            self._crash_news_timer = loop.call_later(
+                max(wait_s, BROADCAST_DELAY_S), self._send_crash_news
+            )
+
+    def _send_crash_news(self) -> None:
+        self._crash_news_timer = None
+        now = asyncio.get_running_loop().time()
+        if self.lease.fence and self._crash_news_bucket.take(now):
+            self._crashes_sent_at = now
+            self._known_peers.send_all(
+                self._make_update([], [], False, [], with_crashes=True)
+            )
+
     def _schedule_broadcast(self) -> None:
         if self._broadcast_timer is None:
             loop = asyncio.get_running_loop()
@@ -622,7 +649,10 @@
         if now - self._latency_model_logged_at >= LATENCY_MODEL_LOG_INTERVAL_S:
             self._latency_model_logged_at = now
             self._log_latency_models()
-        with_crashes = now - self._crashes_sent_at >= CRASH_REPEAT_S
+        recent_news = now - self._crash_news_at < CRASH_NEWS_S
+        with_crashes = now - self._crashes_sent_at >= (
+            CRASH_NEWS_INTERVAL_S if recent_news else CRASH_REPEAT_S
+        )
         if with_crashes:
             self._crashes_sent_at = now
         own_update = self._make_update(
@@ -716,7 +746,7 @@
         )
         crashes: list[summaries.CrashReport] = []
         answered: list[summaries.AnsweredTrait] = []
-        if with_crashes or now - self._crash_news_at < CRASH_NEWS_S:
+        if with_crashes:
             crashes, answered = self._request_handler.crash_guard.reports(
                 own_only=False
             )
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -504,6 +504,40 @@
     assert not any(any(refusals(group, s)) for s in sound)
 
 
+async def test_crash_news_of_many_do_not_fill_the_links(group):
+    """Each news was sent to all at once with all crashes known so far.
+
+    The link between regions was full, and a whole region lost the store. 300
+    requests with 60 new parts are lost at an instance in 3 s.
+    """
+    await group.wait_for_holder()
+    (first,) = group.holders()
+    sent_bytes = 0
+    send = MemoryDatagrams.send
+
+    def count(datagrams, data, address):
+        nonlocal sent_bytes
+        sent_bytes += len(data) if datagrams._number == first else 0
+        send(datagrams, data, address)
+
+    guard = group.handlers[(first + 1) % 4].crash_guard
+    MemoryDatagrams.send = count
+    try:
+        for number in range(300):
+            now = asyncio.get_running_loop().time()
+            traits = crashes.Traits((1000 + number % 60,), 5000 + number // 2)
+            guard._observations.record_crash(
+                (traits.fingerprint,), number, False, now
+            )
+            guard._observations.record_lost_parts(traits, number, now, False)
+            guard.on_crash()
+            await asyncio.sleep(0.01)
+    finally:
+        MemoryDatagrams.send = send
+    # A tenth of the 30 Mbit/s between regions, for 44 of 88 instances there.
+    assert sent_bytes / len(group.instances) / 3.0 < 375_000 / 44
+
+
 async def test_engine_that_says_it_is_leaving_gets_no_orders(group):
     """Models were placed on an engine that answered that it is leaving."""
     await group.wait_for_holder()
