--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -291,8 +291,9 @@
       highest_mb: Largest resident memory of a process.
     """
 
-    # Ends of a process, at two machines at least, that break the rule.
+    # Ends of a process, and on how many machines, that break the rule.
     ENDS = 3
+    MACHINES = 2
     RESTART_S = 1.0
 
     def __init__(self, platform: Platform, length_s: float) -> None:
@@ -310,8 +311,9 @@
 
     @property
     def broken(self) -> bool:
-        """Whether processes of two machines have ended three times."""
-        return sum(n >= self.ENDS for n in self.ends.values()) >= 2
+        """Whether enough processes have ended often enough."""
+        ended = sum(n >= self.ENDS for n in self.ends.values())
+        return ended >= self.MACHINES
 
     async def watch(self, instance: Instance) -> None:
         """Kills a process beyond its memory and starts it again."""
