--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -18,7 +18,8 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+import traceback
+from collections.abc import Awaitable, Callable, Coroutine
 
 from carobsail import httpserver, keyvalue
 from soak import storestandin
@@ -84,6 +85,15 @@
     return _TAG.sub(replace, template)
 
 
+def exit_code(play: Callable[[], Coroutine[None, None, int]]) -> int:
+    """Returns the exit code of a play; 2 if it failed by itself."""
+    try:
+        return asyncio.run(play())
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 class Record:
     """What was sent, answered and run; written to `record.txt`."""
 
