Log why requested models stay without a copy

Cause: model_move_planned names the moves that are made. Whether another model was worth less, found no free engine, or was passed over on the engines that have its weights could not be told from the logs. Change: the planner returns the requested models without a copy that it plans no move for; the coordinator logs each at most every 2 s as model_load_declined, with gain, net gain of the best move, and engines that have the weights. Result: no decision changes.

--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -33,6 +33,8 @@
 # Time between the announcement of an unload and its order, in which the other
 # instances learn that they must send no new requests for the model.
 UNLOAD_NOTICE_S = 0.15
+# Time between two log lines about the same model that stays without a copy.
+DECLINED_LOG_INTERVAL_S = 2.0
 # Fraction of the weight store's rate limit that is used: loads started by the
 # previous lease holder may fall into the same window.
 STORE_RATE_UTILISATION = 0.95
@@ -85,6 +87,9 @@
         self._metrics = metrics
         self._records: dict[str, EngineRecord] = {}
         self._store_load_times: list[float] = []
+        # When each model that stays without a copy was last logged, by service
+        # and model.
+        self._declined_logged_at: dict[tuple[str, str], float] = {}
         self._next_plan_at = float("-inf")
         self._term_fence = 0
         self._engine_pools: dict[str, routetable.EnginePool] = {}
@@ -470,7 +475,10 @@
         demand = self.demand.demand_by_model(
             service, now, self.model_speeds.speedups(service)
         )
-        for move in copyplan.plan(pool, states, demand, allowed, now):
+        declined: list[copyplan.DeclinedLoad] = []
+        moves = copyplan.plan(pool, states, demand, allowed, now, declined)
+        self._log_declined_loads(service, declined, demand, states, now)
+        for move in moves:
             record = self._records[move.engine]
             record.pending = [
                 *(Order(Verb.UNLOAD, name) for name in move.unload),
@@ -496,6 +504,36 @@
             self._publish_holdings(record)
             self._on_plan_changed()
 
+    def _log_declined_loads(
+        self,
+        service: str,
+        declined: list[copyplan.DeclinedLoad],
+        demand: dict[str, copyplan.ModelDemand],
+        states: list[copyplan.EngineState],
+        now: float,
+    ) -> None:
+        """Logs why requested models stay without a copy."""
+        for load in declined:
+            key = (service, load.model)
+            logged_at = self._declined_logged_at.get(key, float("-inf"))
+            if now - logged_at < DECLINED_LOG_INTERVAL_S:
+                continue
+            self._declined_logged_at[key] = now
+            telemetry.log(
+                _log,
+                "model_load_declined",
+                service=service,
+                model=load.model,
+                reason=load.reason,
+                gain=load.gain,
+                net=load.net_gain,
+                per_s=demand[load.model].per_s,
+                waiting=demand[load.model].waiting_requests,
+                engines_with_weights=load.engines_with_weights,
+                free_engines=sum(s.accepts_orders for s in states),
+                engines=len(states),
+            )
+
 
 def engine_state(
     record: EngineRecord,
--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -171,6 +171,28 @@
     net_gain: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeclinedLoad:
+    """A requested model without a copy for which no move was planned.
+
+    Attributes:
+      model: The model.
+      reason: `no_free_engine` if all engines that may be sent an order were
+        used for other moves, else `not_worthwhile`.
+      gain: Gain of its first copy, in requests.
+      net_gain: Expected gain less loss and cost of its best move; -inf if
+        there was none.
+      engines_with_weights: Engines that have its weights in host memory or on
+        disk, also those that accept no order now.
+    """
+
+    model: str
+    reason: str
+    gain: float
+    net_gain: float = -math.inf
+    engines_with_weights: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Eviction:
     """The unloads that free memory for a model at an engine.
@@ -215,8 +237,7 @@
         # Free engines by model that they hold; they accept orders for its
         # adapters.
         self.adapter_holders: dict[str, set[str]] = {}
-        # Free engines by model whose weights they have in host memory or on
-        # disk.
+        # Engines by model whose weights they have in host memory or on disk.
         self._engines_with_weights: dict[str, list[EngineState]] = {}
         for state in states:
             for model in state.models:
@@ -232,11 +253,8 @@
                     self.adapter_holders.setdefault(model, set()).add(
                         state.identity
                     )
-            if state.accepts_orders:
-                for model in state.in_memory | state.on_disk:
-                    self._engines_with_weights.setdefault(model, []).append(
-                        state
-                    )
+            for model in state.in_memory | state.on_disk:
+                self._engines_with_weights.setdefault(model, []).append(state)
         self._memory_mb = pool.model_memory_mb
         self._sizes = {m.size_mb for m in pool.models.values()}
         self._data_centre_count = len({s.data_centre for s in states})
@@ -328,7 +346,10 @@
         return fraction
 
     def best_move(self, name: str, store_allowed: bool) -> Move | None:
-        """Returns the best move that loads one more copy of a model."""
+        """Returns the best move that loads one more copy of a model.
+
+        Its net gain may be too small, or negative.
+        """
         model = self.pool.models[name]
         gain = self.gain(name)
         contention = (
@@ -428,7 +449,7 @@
             cost += SAME_DATA_CENTRE_COST
         net_gain = gain * self._gain_fraction_after_load(name, load_s) - cost
         eviction = self._eviction(state, self.pool.models[name].size_mb)
-        if net_gain < MIN_GAIN or eviction is None:
+        if eviction is None:
             return None
         return Move(state.identity, name, eviction.unload, from_store, net_gain)
 
@@ -477,6 +498,30 @@
                 )
         return blocked_demand
 
+    def declined_loads(
+        self, net_gains: Mapping[str, float]
+    ) -> Iterator[DeclinedLoad]:
+        """Yields the models with a gain that are left without a copy.
+
+        Args:
+          net_gains: Net gains of the best moves that were not worthwhile, by
+            model.
+        """
+        for name in self.demand:
+            if name not in self.pool.models or self.copies.get(name, 0):
+                continue
+            gain = self.gain(name)
+            if gain < MIN_GAIN:
+                continue
+            considered = name in net_gains
+            yield DeclinedLoad(
+                name,
+                "not_worthwhile" if considered else "no_free_engine",
+                gain,
+                net_gains.get(name, -math.inf),
+                len(self._engines_with_weights.get(name, ())),
+            )
+
     def apply(self, move: Move) -> None:
         """Updates the state by a move, before the next one is chosen."""
         state = self.free_engines.pop(move.engine)
@@ -517,6 +562,7 @@
     demand: Mapping[str, ModelDemand],
     store_loads_left: int,
     now: float,
+    declined: list[DeclinedLoad] | None = None,
 ) -> list[Move]:
     """Plans the next moves, at most one for each engine.
 
@@ -526,6 +572,7 @@
       demand: Demand by model.
       store_loads_left: Loads from the weight store that may start now.
       now: Time of the loop's clock in seconds.
+      declined: Receives the requested models that stay without a copy.
 
     Returns:
       The moves as chosen, the model with the largest gain first.
@@ -539,6 +586,7 @@
         for name in demand
         if name in pool.models
     }
+    net_gains: dict[str, float] = {}
     ranked = [(-gain, name) for name, gain in gains.items()]
     heapq.heapify(ranked)
     while planning_round.free_engines and ranked:
@@ -548,7 +596,8 @@
         if gains.get(name) != -gain:
             continue  # Outdated heap entry of a model whose gain changed.
         move = planning_round.best_move(name, store_loads_left > 0)
-        if move is None:
+        if move is None or move.net_gain < MIN_GAIN:
+            net_gains[name] = move.net_gain if move else -math.inf
             del gains[name]
             continue
         moves.append(move)
@@ -558,4 +607,6 @@
             if changed in gains:
                 gains[changed] = planning_round.gain(changed)
                 heapq.heappush(ranked, (-gains[changed], changed))
+    if declined is not None:
+        declined.extend(planning_round.declined_loads(net_gains))
     return moves
