Value a model by the time its callers have been without an engine

With engines that are loading all the time a load that is put off never comes. Change: starvation.UnservedModels keeps the wait of each requested model. What its absence costs grows to all of its requests within its objective, and by as much again with each load that could have been made meanwhile. The wait counts on for a planning horizon after the load, less and less. Conclusion: a class of the same fault, starvation by static priority, is the ranking of moves; of the loads themselves too many still come from the weight store.

--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -19,6 +19,7 @@
     modelspeed,
     orderlease,
     routetable,
+    starvation,
     summaries,
     targetregistry,
     telemetry,
@@ -87,6 +88,9 @@
         self._metrics = metrics
         self._records: dict[str, EngineRecord] = {}
         self._store_load_times: list[float] = []
+        self._unserved_models = starvation.UnservedModels(
+            copyplan.PLANNING_HORIZON_S
+        )
         # When each model that stays without a copy was last logged, by service
         # and model.
         self._declined_logged_at: dict[tuple[str, str], float] = {}
@@ -472,8 +476,17 @@
         allowed = self._store_loads_per_window(pool.loads_per_s) - len(
             self._store_load_times
         )
+        self._unserved_models.update(
+            service,
+            self.demand.last_requested_at(service),
+            {m for s in states for m in s.models if m != s.loading},
+            now,
+        )
         demand = self.demand.demand_by_model(
-            service, now, self.model_speeds.speedups(service)
+            service,
+            now,
+            self.model_speeds.speedups(service),
+            self._unserved_models.unserved_s(service, now),
         )
         declined: list[copyplan.DeclinedLoad] = []
         moves = copyplan.plan(pool, states, demand, allowed, now, declined)
@@ -500,6 +513,7 @@
                 per_s=model_demand.per_s,
                 speedup=model_demand.speedup,
                 waiting=model_demand.waiting_requests,
+                unserved_s=model_demand.unserved_s,
             )
             self._publish_holdings(record)
             self._on_plan_changed()
@@ -529,6 +543,7 @@
                 net=load.net_gain,
                 per_s=demand[load.model].per_s,
                 waiting=demand[load.model].waiting_requests,
+                unserved_s=demand[load.model].unserved_s,
                 engines_with_weights=load.engines_with_weights,
                 free_engines=sum(s.accepts_orders for s in states),
                 engines=len(states),
--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -105,6 +105,8 @@
       waiting_requests: Requests that wait for a copy or an adapter.
       objective_s: Shortest latency objective of its requests so far.
       speedup: How many times faster engines serve it than most models.
+      unserved_s: Seconds for which its callers have been without an engine; see
+        `starvation`.
     """
 
     per_s: float = 0.0
@@ -112,6 +114,7 @@
     waiting_requests: int = 0
     objective_s: float = float("inf")
     speedup: float = 1.0
+    unserved_s: float = 0.0
 
     def unserved_per_s(self, copies: int, growth: float = 1.0) -> float:
         """Returns the requests per second that some copies cannot serve.
@@ -271,10 +274,7 @@
         model_demand = self.demand.get(name, _NO_DEMAND)
         copies = self.copies.get(name, 0)
         if copies == 0:
-            gain = PLANNING_HORIZON_S * min(
-                model_demand.per_s, COPY_CAPACITY_PER_S * model_demand.speedup
-            )
-            return model_demand.waiting_requests + gain * self._delay_loss(name)
+            return model_demand.waiting_requests + self._absence_requests(name)
         gain = PLANNING_HORIZON_S * (
             model_demand.unserved_per_s(copies)
             - model_demand.unserved_per_s(copies + 1)
@@ -304,6 +304,7 @@
         age_s = min(MAX_IDLE_AGE_S, self.now - model_demand.last_requested_at)
         expected = max(model_demand.per_s, 1.0 / (IDLE_AGE_OFFSET_S + age_s))
         loss = PLANNING_HORIZON_S * expected * self._delay_loss(name)
+        loss = max(loss, self._absence_requests(name))
         if age_s < RECENT_USE_S:
             loss += RECENT_USE_LOSS
         if self._may_become_busy(name):
@@ -333,6 +334,26 @@
         # for a draft.
         return URGENT_DELAY_LOSS if model.adapters else UNKNOWN_DELAY_LOSS
 
+    def _absence_requests(self, name: str) -> float:
+        """Returns the requests lost while no engine holds a model.
+
+        Callers with a long objective lose little by the delay of one load. When
+        they have been without an engine for as long as their objective, more
+        loads were put off, and all of the value is lost. The requests of the
+        past wait count as well.
+        """
+        model_demand = self.demand.get(name, _NO_DEMAND)
+        served_per_s = min(
+            model_demand.per_s, COPY_CAPACITY_PER_S * model_demand.speedup
+        )
+        waited_share = model_demand.unserved_s / model_demand.objective_s
+        lost_share = max(self._delay_loss(name), min(1.0, waited_share))
+        missed_loads = (
+            model_demand.unserved_s / self.pool.models[name].store_load_s
+        )
+        requests = PLANNING_HORIZON_S * served_per_s
+        return requests * lost_share * (1.0 + missed_loads)
+
     def _gain_fraction_after_load(self, name: str, load_s: float) -> float:
         """Returns the fraction of a gain that remains after a load."""
         model_demand = self.demand.get(name, _NO_DEMAND)
@@ -421,14 +442,24 @@
                 return  # All remaining engines cost more.
 
     def _base_cost(
-        self, state: EngineState, size_mb: float, load_s: float
+        self,
+        state: EngineState,
+        size_mb: float,
+        load_s: float,
     ) -> float | None:
-        """Returns the cost of freeing memory, or None if that is impossible."""
+        """Returns the cost of freeing memory, or None if that is impossible.
+
+        Args:
+          state: The engine.
+          size_mb: Size of the model to be loaded.
+          load_s: Seconds for which the engine accepts no other order.
+        """
         eviction = self._eviction(state, size_mb)
         if eviction is None:
             return None
         cost = eviction.loss + 0.002 * state.in_flight
-        return cost + load_s * ADAPTER_MISS_RATIO * eviction.blocked_demand
+        blocked_per_s = ADAPTER_MISS_RATIO * eviction.blocked_demand
+        return cost + load_s * blocked_per_s
 
     def _evaluate_move(
         self,
@@ -504,8 +535,7 @@
         """Yields the models with a gain that are left without a copy.
 
         Args:
-          net_gains: Net gains of the best moves that were not worthwhile, by
-            model.
+          net_gains: Net gains of the best moves that were not made, by model.
         """
         for name in self.demand:
             if name not in self.pool.models or self.copies.get(name, 0):
@@ -513,12 +543,14 @@
             gain = self.gain(name)
             if gain < MIN_GAIN:
                 continue
+            net_gain = net_gains.get(name, -math.inf)
             considered = name in net_gains
+            reason = "not_worthwhile" if considered else "no_free_engine"
             yield DeclinedLoad(
                 name,
-                "not_worthwhile" if considered else "no_free_engine",
+                reason,
                 gain,
-                net_gains.get(name, -math.inf),
+                net_gain,
                 len(self._engines_with_weights.get(name, ())),
             )
 
--- a/carobsail/demandtracker.py
+++ b/carobsail/demandtracker.py
@@ -144,6 +144,7 @@
         service: str,
         now: float,
         speedups: Mapping[str, float] = types.MappingProxyType({}),
+        unserved_s: Mapping[str, float] = types.MappingProxyType({}),
     ) -> dict[str, copyplan.ModelDemand]:
         """Returns the demand for the models of a service, by model.
 
@@ -151,6 +152,7 @@
           service: The service.
           now: Time of the event loop's clock in seconds.
           speedups: See `modelspeed.ModelSpeeds.speedups`.
+          unserved_s: See `starvation.UnservedModels.unserved_s`.
         """
         waiting: dict[str, int] = {}
         for (name, model, _), count in self.waiting_requests(now).items():
@@ -169,6 +171,7 @@
                 waiting.pop(model, 0),
                 demand.objective_s,
                 speedups.get(model, 1.0),
+                unserved_s.get(model, 0.0),
             )
             for (name, model), demand in self._demand.items()
             if name == service
@@ -177,6 +180,14 @@
             found[model] = copyplan.ModelDemand(0.0, now, count)
         return found
 
+    def last_requested_at(self, service: str) -> dict[str, float]:
+        """Returns when each model of a service was last requested."""
+        return {
+            model: demand.last_requested_at
+            for (name, model), demand in self._demand.items()
+            if name == service
+        }
+
     def rates_above(self, min_per_s: float) -> list[summaries.ModelRate]:
         """Returns the models with at least a given fast-smoothed rate."""
         return [
