Prefer engines that have the weights of a model, also if they are busy

Cause: only engines that accept an order in that round were considered. A model whose weights were on a busy engine was loaded from the store at another one, which was then busy for 6 s; and a load from the store took the engine with the weights that a waiting model needed. Change: the load of an absent model is put off if an engine with its weights can have it earlier than the weight store; a load costs what the absent models with weights on that engine lose meanwhile.

--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -374,6 +374,15 @@
             return model.disk_load_s
         return model.store_load_s
 
+    def _free_in_s(self, record: EngineRecord, now: float) -> float:
+        """Returns the seconds until the planned model orders should end."""
+        left_s = 0.0
+        if record.loading or record.unloading:
+            left_s = max(0.0, record.busy_until - now)
+        return left_s + sum(
+            self._order_duration_s(record, order) for order in record.pending
+        )
+
     def _load_missing_adapters(
         self, service: str, pool: routetable.EnginePool, now: float
     ) -> None:
@@ -466,7 +475,12 @@
             target = self._targets.get(record.identity)
             assert target is not None
             states.append(
-                engine_state(record, target, loads.get(record.identity))
+                engine_state(
+                    record,
+                    target,
+                    loads.get(record.identity),
+                    self._free_in_s(record, now),
+                )
             )
         self._store_load_times = [
             at
@@ -554,6 +568,7 @@
     record: EngineRecord,
     target: targetregistry.Target,
     load: summaries.TargetUsage | None,
+    free_in_s: float = 0.0,
 ) -> copyplan.EngineState:
     """Returns the state of an engine as input to the planner.
 
@@ -573,6 +588,7 @@
         record.on_disk,
         load.in_flight if load else 0,
         incoming_model,
+        free_in_s,
     )
 
 
--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -143,6 +143,7 @@
       on_disk: Models whose weights are cached on its disk.
       in_flight: Requests in flight at the engine.
       loading: The one of `models` that is not usable yet, or empty.
+      free_in_s: Expected seconds until it accepts an order.
     """
 
     identity: str
@@ -153,6 +154,7 @@
     on_disk: frozenset[str] = frozenset()
     in_flight: int = 0
     loading: str = ""
+    free_in_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -181,7 +183,8 @@
     Attributes:
       model: The model.
       reason: `no_free_engine` if all engines that may be sent an order were
-        used for other moves, else `not_worthwhile`.
+        used for other moves, `engine_awaited` if its best move is at an engine
+        that accepts an order soon, else `not_worthwhile`.
       gain: Gain of its first copy, in requests.
       net_gain: Expected gain less loss and cost of its best move; -inf if
         there was none.
@@ -378,13 +381,22 @@
         ) ** 2
         load_cost_per_s = LOAD_COST_PER_S + CONTENTION_COST_PER_S * contention
         best: Move | None = None
+        absent = not self.copies.get(name, 0)
         for state in self._engines_with_weights.get(name, ()):
-            if state.identity not in self.free_engines or name in state.models:
+            if name in state.models:
                 continue
             load_s = model.disk_load_s
             if name in state.in_memory:
                 load_s = model.memory_load_s
-            base_cost = self._base_cost(state, model.size_mb, load_s)
+            if state.identity not in self.free_engines:
+                # Waiting for a busy engine may be better than to occupy
+                # another one with a load from the weight store.
+                if not absent or not 0.0 < state.free_in_s:
+                    continue
+                load_s += state.free_in_s
+                if load_s >= model.store_load_s:
+                    continue
+            base_cost = self._base_cost(state, model.size_mb, load_s, name)
             move = self._evaluate_move(
                 name, state, gain, base_cost, load_s, load_cost_per_s, False
             )
@@ -446,6 +458,7 @@
         state: EngineState,
         size_mb: float,
         load_s: float,
+        reloaded: str = "",
     ) -> float | None:
         """Returns the cost of freeing memory, or None if that is impossible.
 
@@ -453,13 +466,16 @@
           state: The engine.
           size_mb: Size of the model to be loaded.
           load_s: Seconds for which the engine accepts no other order.
+          reloaded: The model, if the engine has its weights.
         """
         eviction = self._eviction(state, size_mb)
         if eviction is None:
             return None
         cost = eviction.loss + 0.002 * state.in_flight
         blocked_per_s = ADAPTER_MISS_RATIO * eviction.blocked_demand
-        return cost + load_s * blocked_per_s
+        return cost + load_s * (
+            blocked_per_s + self._blocked_reloads(state, reloaded)
+        )
 
     def _evaluate_move(
         self,
@@ -516,6 +532,22 @@
             tuple(unload), loss, self._blocked_demand(state, unload)
         )
 
+    def _blocked_reloads(self, state: EngineState, reloaded: str) -> float:
+        """Returns the loss per second of other models that it could reload.
+
+        A model whose weights are on the disk of an engine that is loading
+        another one has to wait, or occupies a further engine with a load from
+        the weight store.
+        """
+        blocked = math.fsum(
+            self.gain(name) / len(self._engines_with_weights[name])
+            for name in state.in_memory | state.on_disk
+            if name in self.pool.models
+            and name != reloaded
+            and not self.copies.get(name, 0)
+        )
+        return blocked / PLANNING_HORIZON_S
+
     def _blocked_demand(self, state: EngineState, unload: list[str]) -> float:
         """Returns the demand whose adapters no other free engine can load."""
         blocked_demand = 0.0
@@ -544,8 +576,11 @@
             if gain < MIN_GAIN:
                 continue
             net_gain = net_gains.get(name, -math.inf)
-            considered = name in net_gains
-            reason = "not_worthwhile" if considered else "no_free_engine"
+            reason = "no_free_engine"
+            if net_gain >= MIN_GAIN:
+                reason = "engine_awaited"
+            elif name in net_gains:
+                reason = "not_worthwhile"
             yield DeclinedLoad(
                 name,
                 reason,
@@ -632,6 +667,10 @@
             net_gains[name] = move.net_gain if move else -math.inf
             del gains[name]
             continue
+        if move.engine not in planning_round.free_engines:
+            net_gains[name] = move.net_gain
+            del gains[name]
+            continue  # It waits for this engine.
         moves.append(move)
         store_loads_left -= move.from_store
         planning_round.apply(move)
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -100,3 +100,40 @@
     engines = [engine_state("e1", "m0", "m1", "m2")]
     moves = plan(pool, engines, wanted, 5, NOW)
     assert all("m2" not in m.unload for m in moves)
+
+
+@pytest.mark.parametrize(("free_in_s", "loads"), [(2.0, []), (8.0, ["m9"])])
+def test_busy_engine_with_the_weights_is_awaited(free_in_s, loads):
+    """A load of 9 s occupied a second engine; a reload would take 2.4 s."""
+    pool = engine_pool(*(model(f"m{n}") for n in range(10)))
+    engines = [
+        engine_state("e1", "m0"),
+        engine_state(
+            "e2",
+            "m1",
+            accepts_orders=False,
+            loading="m1",
+            free_in_s=free_in_s,
+            on_disk=frozenset({"m9"}),
+        ),
+    ]
+    wanted = {"m9": demand(0.5, waiting_requests=3)}
+    declined = []
+    moves = plan(pool, engines, wanted, 5, NOW, declined)
+    assert [m.load for m in moves] == loads
+    assert [d.reason for d in declined] == ["engine_awaited"] * (not loads)
+
+
+def test_load_from_the_store_spares_the_disk_that_others_wait_for():
+    """Reloads waited for engines that were busy with loads of 9 s."""
+    pool = engine_pool(*(model(f"m{n}") for n in range(10)))
+    engines = [
+        engine_state("e1", "m0", on_disk=frozenset({"m8"})),
+        engine_state("e2", "m1"),
+    ]
+    wanted = {
+        "m9": demand(4.0, objective_s=1.0, waiting_requests=9),
+        "m8": demand(0.5, waiting_requests=1, unserved_s=10.0),
+    }
+    moves = plan(pool, engines, wanted, 5, NOW)
+    assert {(m.load, m.engine) for m in moves} == {("m9", "e2"), ("m8", "e1")}
