Take a response whose head is not valid HTTP for none

Here h11 refuses a status below 100 on every path, but accepts 600 to 999, any major version, and a length beside a transfer coding. With a signature a caller got such a status as a target's response; with the header for requests that were not executed, also beside a success, a caller was told that a request had not run which may have. Change: the response parser, which all paths share, refuses such heads. A statement not to have run counts only in an error. Orders and store calls are known not to have had an effect after 4xx and 503 only. A caller gets 502, or the response of another target where the request may be repeated.

--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -203,6 +203,11 @@
             response = await pool.request("GET", path, [], b"")
         if isinstance(response, errors.Failure):
             return response
+        if response.status != 200:
+            await response.close()
+            return pool.failure(
+                errors.Reason.TARGET_ERROR, f"status {response.status}"
+            )
         async with asyncio.timeout(BODY_TIMEOUT_S):
             body = await response.read_body(
                 _MAX_SNAPSHOT_BYTES, _READ_IDLE_TIMEOUT_S
--- a/carobsail/platform/engines.py
+++ b/carobsail/platform/engines.py
@@ -68,7 +68,9 @@
         verdict = _VERDICT_BY_STATUS.get(status)
         if verdict is not None:
             return verdict
-        return _failure(identity, f"status {status}", errors.Outcome.NOT_RUN)
+        refused = headers.shows_refusal(status)
+        outcome = errors.Outcome.NOT_RUN if refused else errors.Outcome.UNKNOWN
+        return _failure(identity, f"status {status}", outcome)
 
     async def report(
         self, identity: str, address: str
--- a/carobsail/platform/headers.py
+++ b/carobsail/platform/headers.py
@@ -125,10 +125,14 @@
     def parse_response(self, response: httpclient.Response) -> ResponseMetadata:
         """See base class."""
         encoding = response.header("content-encoding")
+        not_executed = response.header(NOT_EXECUTED) is not None
+        # A response that is no error and yet was not executed contradicts
+        # itself: it is neither a refusal nor the target's answer.
+        contradictory = not_executed and response.status < 400
         return ResponseMetadata(
             response.header(REQUEST_ID),
-            response.header(SEAL) is not None,
-            response.header(NOT_EXECUTED) is not None or response.status == 421,
+            response.header(SEAL) is not None and not contradictory,
+            (not_executed and not contradictory) or response.status == 421,
             response.status == 421,
             _parse_retry_after(response.header("retry-after")),
             _parse_load(response.header(SERVER_LOAD)),
@@ -155,6 +159,11 @@
         return headers
 
 
+def shows_refusal(status: int) -> bool:
+    """Whether a status shows that an order or a call had no effect."""
+    return 400 <= status < 500 or status == 503
+
+
 def says_leaving(response: httpclient.Response) -> bool:
     """Whether an engine states in a response that it is leaving."""
     return response.header(SERVER_LEAVING) not in (None, "", "0")
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -19,6 +19,7 @@
     TransactionResult,
     WatchEvent,
 )
+from carobsail.platform import headers
 
 # Timeout of the response head. It takes 4 ms, and up to 60 times that when the
 # store is slow.
@@ -282,7 +283,9 @@
             if status == _COMPACTED_STATUS
             else errors.Reason.UNAVAILABLE
         )
-        return self._failure(reason, errors.Outcome.NOT_RUN, f"status {status}")
+        refused = headers.shows_refusal(status)
+        outcome = errors.Outcome.NOT_RUN if refused else errors.Outcome.UNKNOWN
+        return self._failure(reason, outcome, f"status {status}")
 
     def _failure(
         self, reason: errors.Reason, outcome: errors.Outcome, detail: str = ""
--- a/carobsail/responsebody.py
+++ b/carobsail/responsebody.py
@@ -15,6 +15,8 @@
 # parses a head in one call; 64 KiB of short lines blocked the event loop for
 # 0.1 s.
 MAX_HEAD_BYTES = 32_768
+# Statuses above have no class and no defined meaning.
+_MAX_STATUS = 599
 # Longer chunks are passed to h11, which returns their data as it arrives.
 _MAX_CHUNK_BYTES = 65_536
 # Chunks that are parsed in one call. h11 needs up to 60 us for each; a read of
@@ -81,6 +83,7 @@
             self._pending = self._pending[end:]
             event = self.h11_connection.next_event()
         if isinstance(event, h11.Response):
+            _check_head(event)
             self._start(event)
         return event
 
@@ -164,6 +167,26 @@
             self._feed_pending()
 
 
+def _check_head(head: h11.Response) -> None:
+    """Checks what h11 accepts although it is not valid HTTP/1.
+
+    h11 itself accepts no status below 100.
+
+    Raises:
+      h11.RemoteProtocolError: The head is that of no response.
+    """
+    if head.status_code > _MAX_STATUS:
+        raise h11.RemoteProtocolError(f"status {head.status_code}")
+    if not head.http_version.startswith(b"1."):
+        raise h11.RemoteProtocolError(
+            f"HTTP version {head.http_version.decode()}"
+        )
+    names = {name for name, _ in head.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        # The recipients on the way may disagree on where the body ends.
+        raise h11.RemoteProtocolError("a length and a transfer coding")
+
+
 def _join(parts: list[bytes]) -> bytes:
     # h11 returns bytearrays; both `bytes` and `join` make a single copy.
     return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
