Give the value of models a module, and await only engines whose time is known

An engine whose order was overdue or whose report was missing counted as free at once and could be awaited without an end; waits were kept over the end of a term, in which others may have loaded the models. Change: modelvalue has the demand of a model and what its copies are worth; the time until an engine is free is infinite if unknown; waits end with the term. The values of possible reloads are computed once a round instead of for each engine and size.

--- a/bench/fleetsim.py
+++ b/bench/fleetsim.py
@@ -13,7 +13,13 @@
 import random
 from collections.abc import Callable, Iterator, Sequence
 
-from carobsail import copyplan, latencymodel, routetable, targetregistry
+from carobsail import (
+    copyplan,
+    latencymodel,
+    modelvalue,
+    routetable,
+    targetregistry,
+)
 
 # Interval at which each instance learns the load caused by the others.
 LOAD_REPORT_INTERVAL_S = 0.5
@@ -395,7 +401,7 @@
         for request in self._waiting:
             waiting[request.model] = waiting.get(request.model, 0) + 1
         demand = {
-            model: copyplan.ModelDemand(
+            model: modelvalue.ModelDemand(
                 self.request_rate(model),
                 at,
                 waiting.get(model, 0),
--- a/bench/platformnode.py
+++ b/bench/platformnode.py
@@ -11,7 +11,13 @@
 import time
 from typing import Any
 
-from carobsail import coordination, copyplan, routetable, summaries
+from carobsail import (
+    coordination,
+    copyplan,
+    modelvalue,
+    routetable,
+    summaries,
+)
 
 # Instances and engines: the users' sites after growth and the size in two
 # years.
@@ -147,7 +153,7 @@
         ]
         mean_per_s = 3.0 * count / MODELS
         demand = {
-            name: copyplan.ModelDemand(
+            name: modelvalue.ModelDemand(
                 rng.expovariate(1.0 / mean_per_s), 100.0, 0, 1.0
             )
             for name in names
--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Coroutine
 
 from carobsail import (
@@ -17,6 +18,7 @@
     engineorders,
     errors,
     modelspeed,
+    modelvalue,
     orderlease,
     routetable,
     starvation,
@@ -89,7 +91,7 @@
         self._records: dict[str, EngineRecord] = {}
         self._store_load_times: list[float] = []
         self._unserved_models = starvation.UnservedModels(
-            copyplan.PLANNING_HORIZON_S
+            modelvalue.PLANNING_HORIZON_S
         )
         # When each model that stays without a copy was last logged, by service
         # and model.
@@ -180,6 +182,8 @@
             telemetry.log(_log, "order_term_ended", fence=self._term_fence)
         self._term_fence = 0
         self._records.clear()
+        self._unserved_models.clear()
+        self._declined_logged_at.clear()
 
     def _store_loads_per_window(self, per_s: float) -> int:
         """Returns the loads that the weight store's rate allows in a window."""
@@ -375,13 +379,16 @@
         return model.store_load_s
 
     def _free_in_s(self, record: EngineRecord, now: float) -> float:
-        """Returns the seconds until the planned model orders should end."""
-        left_s = 0.0
-        if record.loading or record.unloading:
-            left_s = max(0.0, record.busy_until - now)
-        return left_s + sum(
+        """Returns the seconds until the engine's model orders should end.
+
+        Infinite if that is unknown: a report is missing or an order overdue.
+        """
+        left_s = sum(
             self._order_duration_s(record, order) for order in record.pending
         )
+        if record.loading or record.unloading:
+            left_s += record.busy_until - now
+        return left_s if record.in_sync and left_s > 0.0 else math.inf
 
     def _load_missing_adapters(
         self, service: str, pool: routetable.EnginePool, now: float
@@ -515,7 +522,7 @@
                 record.next_order_at = now + UNLOAD_NOTICE_S
             if move.from_store:
                 self._store_load_times.append(now)
-            model_demand = demand.get(move.load, copyplan.ModelDemand())
+            model_demand = demand.get(move.load, modelvalue.ModelDemand())
             telemetry.log(
                 _log,
                 "model_move_planned",
@@ -536,7 +543,7 @@
         self,
         service: str,
         declined: list[copyplan.DeclinedLoad],
-        demand: dict[str, copyplan.ModelDemand],
+        demand: dict[str, modelvalue.ModelDemand],
         states: list[copyplan.EngineState],
         now: float,
     ) -> None:
@@ -568,7 +575,7 @@
     record: EngineRecord,
     target: targetregistry.Target,
     load: summaries.TargetUsage | None,
-    free_in_s: float = 0.0,
+    free_in_s: float = math.inf,
 ) -> copyplan.EngineState:
     """Returns the state of an engine as input to the planner.
 
--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -1,10 +1,10 @@
 """Decides which models the engines load and unload.
 
-All gains and losses are counted in requests over `PLANNING_HORIZON_S`, so that
-they can be compared. Loading a copy gains the requests that wait for the model
-and those that its present copies cannot serve. Unloading a copy loses the
-requests that the remaining copies cannot serve, or that will have to wait for a
-new load.
+All gains and losses are counted in requests over
+`modelvalue.PLANNING_HORIZON_S`, so that they can be compared. Loading a copy
+gains the requests that wait for the model and those that its present copies
+cannot serve. Unloading a copy loses the requests that the remaining copies
+cannot serve, or that will have to wait for a new load.
 
 Load patterns that the planner handles:
 
@@ -14,6 +14,10 @@
 - More rarely used models are requested at once than the engines can hold: a
   model with waiting callers first replaces a copy that is not needed, then the
   model whose callers can best tolerate the wait for a reload.
+- More models are requested throughout than the engines can hold, and the
+  engines are loading all the time: the value of a model grows with the wait of
+  its callers, so that each model gets its turn. A model whose weights are on a
+  busy engine waits for it if a load from the weight store would take longer.
 - Traffic jumps beyond the capacity of all engines: the model with the largest
   shortage gets copies before a rarely used model with one caller.
 - An engine accepts no order for an adapter while it loads a model, which takes
@@ -28,25 +32,12 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 
-from carobsail import routetable
+from carobsail import modelvalue, routetable
 
-# Covers a load from the weight store and the time until demand moves again.
-PLANNING_HORIZON_S = 10.0
-# Requests per second that one copy can serve. A request uses 0.11 s of an
-# engine (1,900 prompt tokens that are not in its cache, at 19 to 20 per ms, and
-# its share of the decode steps). Above a utilisation of 0.55, the queueing
-# delay exceeds the latency objectives.
-COPY_CAPACITY_PER_S = 5.0
 # Demand in requests per second from which a model should have a second copy in
 # case an engine is lost, and the value of that copy in requests.
 REDUNDANCY_MIN_PER_S = 0.7
 REDUNDANCY_GAIN = 0.5
-# Fraction of a request's value that is lost when it waits for a load: all of it
-# if its latency objective is shorter than a load from disk, little otherwise.
-URGENT_DELAY_LOSS = 1.0
-TOLERANT_DELAY_LOSS = 0.15
-# For a model without requests so far, whose latency objective is unknown.
-UNKNOWN_DELAY_LOSS = 0.4
 # A model whose last request was `age` seconds ago is expected to get requests
 # at a rate of 1 / (age + IDLE_AGE_OFFSET_S); `age` is limited to
 # MAX_IDLE_AGE_S.
@@ -81,55 +72,11 @@
 STORE_LOAD_COST = 0.3
 # Cost in requests of a further copy in a data centre that already has one.
 SAME_DATA_CENTRE_COST = 0.05
-# Callers with short latency objectives leave during a load, and demand moves
-# again after it: a load that takes half the planning horizon keeps half of its
-# gain.
-LOAD_DELAY_WEIGHT = 2.0
-# Minimum fraction of the gain that is kept for callers with long latency
-# objectives, who wait for the load: a late response has 0.3 of the value, and a
-# caller who is refused and retries in vain costs as much again.
-TOLERANT_MIN_GAIN_FRACTION = 0.6
 # Minimum net gain of a load in requests; prevents models from being loaded and
 # unloaded repeatedly.
 MIN_GAIN = 0.2
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ModelDemand:
-    """Demand for a model.
-
-    Attributes:
-      per_s: Requests per second, smoothed.
-      last_requested_at: When it was last requested, in seconds of the loop's
-        clock.
-      waiting_requests: Requests that wait for a copy or an adapter.
-      objective_s: Shortest latency objective of its requests so far.
-      speedup: How many times faster engines serve it than most models.
-      unserved_s: Seconds for which its callers have been without an engine; see
-        `starvation`.
-    """
-
-    per_s: float = 0.0
-    last_requested_at: float = float("-inf")
-    waiting_requests: int = 0
-    objective_s: float = float("inf")
-    speedup: float = 1.0
-    unserved_s: float = 0.0
-
-    def unserved_per_s(self, copies: int, growth: float = 1.0) -> float:
-        """Returns the requests per second that some copies cannot serve.
-
-        Args:
-          copies: Number of copies.
-          growth: Factor by which the demand may grow.
-        """
-        capacity_per_s = copies * COPY_CAPACITY_PER_S * self.speedup
-        return max(0.0, growth * self.per_s - capacity_per_s)
-
-
-_NO_DEMAND = ModelDemand()
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineState:
     """State of an engine, as input to the planner.
@@ -143,7 +90,8 @@
       on_disk: Models whose weights are cached on its disk.
       in_flight: Requests in flight at the engine.
       loading: The one of `models` that is not usable yet, or empty.
-      free_in_s: Expected seconds until it accepts an order.
+      free_in_s: Expected seconds until an engine that is busy with orders
+        accepts another one; infinite if unknown.
     """
 
     identity: str
@@ -154,7 +102,7 @@
     on_disk: frozenset[str] = frozenset()
     in_flight: int = 0
     loading: str = ""
-    free_in_s: float = 0.0
+    free_in_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -228,7 +176,7 @@
         self,
         pool: routetable.EnginePool,
         states: list[EngineState],
-        demand: Mapping[str, ModelDemand],
+        demand: Mapping[str, modelvalue.ModelDemand],
         now: float,
     ) -> None:
         self.pool = pool
@@ -264,6 +212,13 @@
         self._memory_mb = pool.model_memory_mb
         self._sizes = {m.size_mb for m in pool.models.values()}
         self._data_centre_count = len({s.data_centre for s in states})
+        # Loss per second of each absent model, divided among the engines that
+        # have its weights.
+        self._reload_values = {
+            name: self.gain(name) / modelvalue.PLANNING_HORIZON_S / len(engines)
+            for name, engines in self._engines_with_weights.items()
+            if name in pool.models and not self.copies.get(name, 0)
+        }
         self._losses: dict[str, float] = {}
         self._evictions: dict[tuple[str, float], _Eviction | None] = {}
         # Engines in ascending order of the cost of a load from the weight
@@ -274,11 +229,13 @@
 
     def gain(self, name: str) -> float:
         """Returns the requests gained by one more copy of a model."""
-        model_demand = self.demand.get(name, _NO_DEMAND)
+        model_demand = self.demand.get(name, modelvalue.NO_DEMAND)
         copies = self.copies.get(name, 0)
         if copies == 0:
-            return model_demand.waiting_requests + self._absence_requests(name)
-        gain = PLANNING_HORIZON_S * (
+            return model_demand.waiting_requests + model_demand.absence_loss(
+                self.pool.models[name]
+            )
+        gain = modelvalue.PLANNING_HORIZON_S * (
             model_demand.unserved_per_s(copies)
             - model_demand.unserved_per_s(copies + 1)
         )
@@ -294,10 +251,10 @@
         return loss
 
     def _loss(self, name: str) -> float:
-        model_demand = self.demand.get(name, _NO_DEMAND)
+        model_demand = self.demand.get(name, modelvalue.NO_DEMAND)
         copies = self.usable_copies.get(name, 0)
         if copies > 1:
-            loss = PLANNING_HORIZON_S * (
+            loss = modelvalue.PLANNING_HORIZON_S * (
                 model_demand.unserved_per_s(copies - 1, UNLOAD_DEMAND_FACTOR)
                 - model_demand.unserved_per_s(copies, UNLOAD_DEMAND_FACTOR)
             )
@@ -306,73 +263,27 @@
             return loss + 0.05 * model_demand.per_s
         age_s = min(MAX_IDLE_AGE_S, self.now - model_demand.last_requested_at)
         expected = max(model_demand.per_s, 1.0 / (IDLE_AGE_OFFSET_S + age_s))
-        loss = PLANNING_HORIZON_S * expected * self._delay_loss(name)
-        loss = max(loss, self._absence_requests(name))
+        model = self.pool.models[name]
+        loss = max(
+            modelvalue.PLANNING_HORIZON_S
+            * expected
+            * model_demand.delay_loss(model),
+            model_demand.absence_loss(model),
+        )
         if age_s < RECENT_USE_S:
             loss += RECENT_USE_LOSS
-        if self._may_become_busy(name):
-            adapters = self.pool.models[name].adapters > 0
+        if model_demand.may_become_busy(model):
+            adapters = model.adapters > 0
             loss = max(
                 loss, BURST_RISK_LOSS + BURST_RISK_ADAPTER_EXTRA_LOSS * adapters
             )
         return model_demand.waiting_requests + loss
 
-    def _may_become_busy(self, name: str) -> bool:
-        """Whether a burst of requests with short objectives may arrive."""
-        model_demand = self.demand.get(name, _NO_DEMAND)
-        disk_load_s = self.pool.models[name].disk_load_s
-        return (
-            math.isinf(model_demand.objective_s)
-            or model_demand.objective_s < disk_load_s
-        )
-
-    def _delay_loss(self, name: str) -> float:
-        """Returns the fraction of a request's value lost by a load's delay."""
-        model = self.pool.models[name]
-        objective_s = self.demand.get(name, _NO_DEMAND).objective_s
-        if not math.isinf(objective_s):
-            urgent = objective_s < model.disk_load_s
-            return URGENT_DELAY_LOSS if urgent else TOLERANT_DELAY_LOSS
-        # Models with adapters have many users, who mostly wait interactively
-        # for a draft.
-        return URGENT_DELAY_LOSS if model.adapters else UNKNOWN_DELAY_LOSS
-
-    def _absence_requests(self, name: str) -> float:
-        """Returns the requests lost while no engine holds a model.
-
-        Callers with a long objective lose little by the delay of one load. When
-        they have been without an engine for as long as their objective, more
-        loads were put off, and all of the value is lost. The requests of the
-        past wait count as well.
-        """
-        model_demand = self.demand.get(name, _NO_DEMAND)
-        served_per_s = min(
-            model_demand.per_s, COPY_CAPACITY_PER_S * model_demand.speedup
-        )
-        waited_share = model_demand.unserved_s / model_demand.objective_s
-        lost_share = max(self._delay_loss(name), min(1.0, waited_share))
-        missed_loads = (
-            model_demand.unserved_s / self.pool.models[name].store_load_s
-        )
-        requests = PLANNING_HORIZON_S * served_per_s
-        return requests * lost_share * (1.0 + missed_loads)
-
-    def _gain_fraction_after_load(self, name: str, load_s: float) -> float:
-        """Returns the fraction of a gain that remains after a load."""
-        model_demand = self.demand.get(name, _NO_DEMAND)
-        if load_s < model_demand.objective_s < math.inf:
-            return 1.0
-        fraction = PLANNING_HORIZON_S / (
-            PLANNING_HORIZON_S + LOAD_DELAY_WEIGHT * load_s
-        )
-        if self._delay_loss(name) == TOLERANT_DELAY_LOSS:
-            fraction = max(fraction, TOLERANT_MIN_GAIN_FRACTION)
-        return fraction
-
     def best_move(self, name: str, store_allowed: bool) -> Move | None:
         """Returns the best move that loads one more copy of a model.
 
-        Its net gain may be too small, or negative.
+        Its net gain may be too small, or negative. For a model without a copy,
+        its engine may be a busy one that is worth waiting for.
         """
         model = self.pool.models[name]
         gain = self.gain(name)
@@ -389,12 +300,8 @@
             if name in state.in_memory:
                 load_s = model.memory_load_s
             if state.identity not in self.free_engines:
-                # Waiting for a busy engine may be better than to occupy
-                # another one with a load from the weight store.
-                if not absent or not 0.0 < state.free_in_s:
-                    continue
                 load_s += state.free_in_s
-                if load_s >= model.store_load_s:
+                if not absent or load_s >= model.store_load_s:
                     continue
             base_cost = self._base_cost(state, model.size_mb, load_s, name)
             move = self._evaluate_move(
@@ -494,8 +401,10 @@
         )
         if state.data_centre in self.data_centres.get(name, ()):
             cost += SAME_DATA_CENTRE_COST
-        net_gain = gain * self._gain_fraction_after_load(name, load_s) - cost
-        eviction = self._eviction(state, self.pool.models[name].size_mb)
+        model = self.pool.models[name]
+        model_demand = self.demand.get(name, modelvalue.NO_DEMAND)
+        net_gain = gain * model_demand.fraction_after_load(model, load_s) - cost
+        eviction = self._eviction(state, model.size_mb)
         if eviction is None:
             return None
         return Move(state.identity, name, eviction.unload, from_store, net_gain)
@@ -539,14 +448,12 @@
         another one has to wait, or occupies a further engine with a load from
         the weight store.
         """
-        blocked = math.fsum(
-            self.gain(name) / len(self._engines_with_weights[name])
+        # The sum must not depend on the order of the sets.
+        return math.fsum(
+            self._reload_values.get(name, 0.0)
             for name in state.in_memory | state.on_disk
-            if name in self.pool.models
-            and name != reloaded
-            and not self.copies.get(name, 0)
+            if name != reloaded
         )
-        return blocked / PLANNING_HORIZON_S
 
     def _blocked_demand(self, state: EngineState, unload: list[str]) -> float:
         """Returns the demand whose adapters no other free engine can load."""
@@ -555,7 +462,7 @@
             if name in unload or not self.pool.models[name].adapters:
                 continue
             if len(self.adapter_holders.get(name, ())) <= 1:
-                model_demand = self.demand.get(name, _NO_DEMAND)
+                model_demand = self.demand.get(name, modelvalue.NO_DEMAND)
                 blocked_demand += (
                     model_demand.per_s + model_demand.waiting_requests
                 )
@@ -603,6 +510,7 @@
             self._losses.pop(name, None)
             affected |= self.adapter_holders[name]
         self.copies[move.load] = self.copies.get(move.load, 0) + 1
+        self._reload_values.pop(move.load, None)
         self.data_centres.setdefault(move.load, set()).add(state.data_centre)
         self._recompute_costs(affected)
 
@@ -626,7 +534,7 @@
 def plan(
     pool: routetable.EnginePool,
     engines: Iterable[EngineState],
-    demand: Mapping[str, ModelDemand],
+    demand: Mapping[str, modelvalue.ModelDemand],
     store_loads_left: int,
     now: float,
     declined: list[DeclinedLoad] | None = None,
@@ -663,14 +571,15 @@
         if gains.get(name) != -gain:
             continue  # Outdated heap entry of a model whose gain changed.
         move = planning_round.best_move(name, store_loads_left > 0)
-        if move is None or move.net_gain < MIN_GAIN:
+        if (
+            move is None
+            or move.net_gain < MIN_GAIN
+            # The best move is to wait for a busy engine.
+            or move.engine not in planning_round.free_engines
+        ):
             net_gains[name] = move.net_gain if move else -math.inf
             del gains[name]
             continue
-        if move.engine not in planning_round.free_engines:
-            net_gains[name] = move.net_gain
-            del gains[name]
-            continue  # It waits for this engine.
         moves.append(move)
         store_loads_left -= move.from_store
         planning_round.apply(move)
--- a/carobsail/demandtracker.py
+++ b/carobsail/demandtracker.py
@@ -5,7 +5,7 @@
 import types
 from collections.abc import Mapping
 
-from carobsail import copyplan, summaries
+from carobsail import modelvalue, summaries
 
 # Time constants of the exponentially smoothed demand. The users' demand moves
 # in 4 to 6 s and jumps within 1 s; the fast average shows a rise before the
@@ -145,7 +145,7 @@
         now: float,
         speedups: Mapping[str, float] = types.MappingProxyType({}),
         unserved_s: Mapping[str, float] = types.MappingProxyType({}),
-    ) -> dict[str, copyplan.ModelDemand]:
+    ) -> dict[str, modelvalue.ModelDemand]:
         """Returns the demand for the models of a service, by model.
 
         Args:
@@ -165,7 +165,7 @@
         )
         fraction = 1.0 - math.exp(-max(seen_s, 0.5) / DEMAND_SMOOTHING_S)
         found = {
-            model: copyplan.ModelDemand(
+            model: modelvalue.ModelDemand(
                 _extrapolated_per_s(demand.per_s / fraction, demand.fast_per_s),
                 demand.last_requested_at,
                 waiting.pop(model, 0),
@@ -177,7 +177,7 @@
             if name == service
         }
         for model, count in waiting.items():
-            found[model] = copyplan.ModelDemand(0.0, now, count)
+            found[model] = modelvalue.ModelDemand(0.0, now, count)
         return found
 
     def last_requested_at(self, service: str) -> dict[str, float]:
--- a/carobsail/starvation.py
+++ b/carobsail/starvation.py
@@ -1,10 +1,11 @@
 """Tells for how long the callers of each model have been without an engine.
 
-Load pattern: the engines cannot hold all requested models, and loads are short.
-If a model is valued by its present demand alone, the models with the least
-demand lose against the others in every round, and their callers are never
-served. The planner therefore values a model the more, the longer its callers
-have been asking in vain.
+Load pattern: the engines cannot hold all requested models, and loading takes
+longer than callers wait. If a model is valued by its present demand alone, the
+models with the least demand lose against the others in every round, and their
+callers are never served. The planner therefore values a model the more, the
+longer its callers have been asking in vain; see
+`modelvalue.ModelDemand.absence_loss`.
 """
 
 import dataclasses
@@ -46,6 +47,10 @@
         self._turn_s = turn_s
         self._waits: dict[tuple[str, str], _Wait] = {}
 
+    def clear(self) -> None:
+        """Forgets all waits."""
+        self._waits.clear()
+
     def update(
         self,
         service: str,
--- a/tests/builders_starvation.py
+++ b/tests/builders_starvation.py
@@ -14,7 +14,7 @@
 from test_coordinator import summary
 from test_orders_property import Lease
 
-from carobsail import coordinator, copyplan, engineorders, telemetry
+from carobsail import coordinator, engineorders, modelvalue, telemetry
 from carobsail.engineorders import Verb, Verdict
 from carobsail.summaries import RequestCount
 from carobsail.targetregistry import TargetRegistry
@@ -217,7 +217,7 @@
         waiting = [w for w in waiting if w[0] not in usable and now < w[1]]
         for name, weight in zip(names, weights, strict=True):
             per_s = shortage.busy_per_s * weight / sum(weights)
-            capacity_per_s = copyplan.COPY_CAPACITY_PER_S * usable[name]
+            capacity_per_s = modelvalue.COPY_CAPACITY_PER_S * usable[name]
             outcome.busy_requests += per_s * STEP_S
             outcome.busy_within_capacity += STEP_S * min(per_s, capacity_per_s)
         report = summary(number, waiting=[(n, "", 1) for n, _ in waiting])
--- a/tests/test_copyplan.py
+++ b/tests/test_copyplan.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 
 from carobsail import copyplan
-from carobsail.copyplan import EngineState, ModelDemand, plan
+from carobsail.copyplan import EngineState, plan
+from carobsail.modelvalue import ModelDemand
 
 NOW = 100.0
 URGENT_S = 1.0
--- a/tests/test_modelspeed.py
+++ b/tests/test_modelspeed.py
@@ -4,7 +4,7 @@
 
 from builders_serving import engine_pool, engine_state, model
 
-from carobsail import copyplan
+from carobsail import copyplan, modelvalue
 from carobsail.latencymodel import LatencyModel, LatencySample
 from carobsail.modelspeed import MAX_SPEEDUP, MIN_SAMPLES, ModelSpeeds
 
@@ -73,7 +73,7 @@
     ]
     for speedup, expected in ((1.0, 6), (3.0, 1)):
         demand = {
-            "m4": copyplan.ModelDemand(
+            "m4": modelvalue.ModelDemand(
                 40.0, 0.0, objective_s=1.0, speedup=speedup
             )
         }
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import async_solipsism
 import pytest
@@ -9,7 +10,8 @@
 from builders_starvation import Outcome, Shortage, replay
 
 from carobsail import starvation
-from carobsail.copyplan import ModelDemand, plan
+from carobsail.copyplan import plan
+from carobsail.modelvalue import ModelDemand
 
 NOW = 100.0
 TIGHT = Shortage()
@@ -102,9 +104,14 @@
     assert all("m2" not in m.unload for m in moves)
 
 
-@pytest.mark.parametrize(("free_in_s", "loads"), [(2.0, []), (8.0, ["m9"])])
+@pytest.mark.parametrize(
+    ("free_in_s", "loads"), [(2.0, []), (8.0, ["m9"]), (math.inf, ["m9"])]
+)
 def test_busy_engine_with_the_weights_is_awaited(free_in_s, loads):
-    """A load of 9 s occupied a second engine; a reload would take 2.4 s."""
+    """A load of 9 s occupied a second engine; a reload would take 2.4 s.
+
+    An engine of which nobody knows when it is free is not awaited.
+    """
     pool = engine_pool(*(model(f"m{n}") for n in range(10)))
     engines = [
         engine_state("e1", "m0"),
