--- a/carobsail/copyplan.py
+++ b/carobsail/copyplan.py
@@ -213,12 +213,14 @@
         self._sizes = {m.size_mb for m in pool.models.values()}
         self._data_centre_count = len({s.data_centre for s in states})
         # Loss per second of each absent model, divided among the engines that
-        # have its weights.
-        self._reload_values = {
-            name: self.gain(name) / modelvalue.PLANNING_HORIZON_S / len(engines)
-            for name, engines in self._engines_with_weights.items()
-            if name in pool.models and not self.copies.get(name, 0)
-        }
+        # have its weights; and its sum by engine.
+        self._reload_values: dict[str, float] = {}
+        self._blocked_reloads: dict[str, float] = {}
+        for name in demand:
+            engines = self._engines_with_weights.get(name)
+            if engines and name in pool.models and name not in self.copies:
+                value = self.gain(name) / modelvalue.PLANNING_HORIZON_S
+                self._add_reload_value(name, value / len(engines))
         self._losses: dict[str, float] = {}
         self._evictions: dict[tuple[str, float], _Eviction | None] = {}
         # Engines in ascending order of the cost of a load from the weight
@@ -380,9 +382,9 @@
             return None
         cost = eviction.loss + 0.002 * state.in_flight
         blocked_per_s = ADAPTER_MISS_RATIO * eviction.blocked_demand
-        return cost + load_s * (
-            blocked_per_s + self._blocked_reloads(state, reloaded)
-        )
+        blocked_per_s += self._blocked_reloads.get(state.identity, 0.0)
+        blocked_per_s -= self._reload_values.get(reloaded, 0.0)
+        return cost + load_s * blocked_per_s
 
     def _evaluate_move(
         self,
@@ -441,19 +443,17 @@
             tuple(unload), loss, self._blocked_demand(state, unload)
         )
 
-    def _blocked_reloads(self, state: EngineState, reloaded: str) -> float:
-        """Returns the loss per second of other models that it could reload.
+    def _add_reload_value(self, name: str, value: float) -> None:
+        """Counts a possible reload of a model at the engines with its weights.
 
         A model whose weights are on the disk of an engine that is loading
         another one has to wait, or occupies a further engine with a load from
         the weight store.
         """
-        # The sum must not depend on the order of the sets.
-        return math.fsum(
-            self._reload_values.get(name, 0.0)
-            for name in state.in_memory | state.on_disk
-            if name != reloaded
-        )
+        self._reload_values[name] = value
+        for state in self._engines_with_weights[name]:
+            blocked = self._blocked_reloads.get(state.identity, 0.0)
+            self._blocked_reloads[state.identity] = blocked + value
 
     def _blocked_demand(self, state: EngineState, unload: list[str]) -> float:
         """Returns the demand whose adapters no other free engine can load."""
@@ -510,7 +510,9 @@
             self._losses.pop(name, None)
             affected |= self.adapter_holders[name]
         self.copies[move.load] = self.copies.get(move.load, 0) + 1
-        self._reload_values.pop(move.load, None)
+        if move.load in self._reload_values:
+            self._add_reload_value(move.load, -self._reload_values[move.load])
+            del self._reload_values[move.load]
         self.data_centres.setdefault(move.load, set()).add(state.data_centre)
         self._recompute_costs(affected)
 
