Show declined loads of a request's model in explain

Seen: carobsailctl explain showed the moves and orders of a model, and not why it had none. Change: model_load_declined counts as about the model. Result: test_reason_of_a_load_that_was_not_made_is_shown fails before.

--- a/carobsail/explanation.py
+++ b/carobsail/explanation.py
@@ -11,6 +11,7 @@
 # Longer sections show only their newest lines.
 MAX_SECTION_LINES = 30
 
+_MODEL_EVENTS = frozenset({"model_load_declined", "order_given"})
 _TARGET_EVENTS = frozenset(
     {
         "crash_observed",
@@ -106,4 +107,4 @@
     if line.event == "model_move_planned":
         unloaded = fields.get("unload", "").split(",")
         return fields.get("load") == model or model in unloaded
-    return line.event == "order_given" and fields.get("model") == model
+    return line.event in _MODEL_EVENTS and fields.get("model") == model
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -52,6 +52,17 @@
     assert "prompt_parts=aa,bb" in text and "traits=00bb" in text
 
 
+def test_reason_of_a_load_that_was_not_made_is_shown():
+    """Why no engine held a model stood in the coordinator's log only."""
+    declined = [
+        "n2 time=2026-03-01T22:48:51.400Z level=info event=model_load_declined "
+        f"model={model} reason=no_free_engine unserved_s=12.5"
+        for model in ("m1", "m8")
+    ]
+    text = "\n".join(explain("q1", [*LOG, *loglines.parse_lines(declined)]))
+    assert "# model m1: 3 lines" in text and "model=m8" not in text
+
+
 def test_statement_of_a_target_of_a_request_is_shown():
     """Why a target was not chosen stood only beside another request."""
     statement = (
