Let the value of a model grow with the planning horizon, not the load time

Cause: the wait was counted in loads that could have been made, which says how cheap a load is, not how much its callers lose. Change: the requests of the wait are added to those of the planning horizon. Conclusion: how much rare models may take from urgent ones is the users' to say; a value that knew what requests are worth could be stronger.

--- a/carobsail/modelvalue.py
+++ b/carobsail/modelvalue.py
@@ -30,9 +30,8 @@
 # objectives, who wait for the load: a late response has 0.3 of the value, and a
 # caller who is refused and retries in vain costs as much again.
 TOLERANT_MIN_GAIN_FRACTION = 0.6
-# Objectives and load times below this count as this; a configuration may state
-# none.
-MIN_AGING_PERIOD_S = 0.5
+# Shorter objectives count as this; a configuration may state none.
+MIN_OBJECTIVE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -87,20 +86,15 @@
 
         Callers with a long objective lose little by the delay of one load. If
         they have been without an engine for as long as their objective, the
-        load was put off, and all of the value is lost. The loss grows on with
-        each load that could have been made since: the models with the least
-        demand would otherwise lose against others in every round.
+        load was put off, and all of the value is lost. The requests of that
+        time count as well: the models with the least demand would otherwise
+        lose against others in every round.
         """
         served_per_s = min(self.per_s, COPY_CAPACITY_PER_S * self.speedup)
-        waited_share = self.unserved_s / max(
-            MIN_AGING_PERIOD_S, self.objective_s
-        )
+        waited_share = self.unserved_s / max(MIN_OBJECTIVE_S, self.objective_s)
         lost_share = max(self.delay_loss(model), min(1.0, waited_share))
-        missed_loads = self.unserved_s / max(
-            MIN_AGING_PERIOD_S, model.store_load_s
-        )
-        requests = PLANNING_HORIZON_S * served_per_s
-        return requests * lost_share * (1.0 + missed_loads)
+        counted_s = PLANNING_HORIZON_S + self.unserved_s
+        return counted_s * served_per_s * lost_share
 
     def fraction_after_load(
         self, model: routetable.Model, load_s: float
