Derive the outcome of a failed order or store call in one place

Cause: engines and store turned a status into an outcome with the same two lines. Result: behaviour as before; tests of malformed responses, store, headers and leaving targets pass.

--- a/carobsail/platform/engines.py
+++ b/carobsail/platform/engines.py
@@ -68,8 +68,7 @@
         verdict = _VERDICT_BY_STATUS.get(status)
         if verdict is not None:
             return verdict
-        refused = headers.shows_refusal(status)
-        outcome = errors.Outcome.NOT_RUN if refused else errors.Outcome.UNKNOWN
+        outcome = headers.failure_outcome(status)
         return _failure(identity, f"status {status}", outcome)
 
     async def report(
--- a/carobsail/platform/headers.py
+++ b/carobsail/platform/headers.py
@@ -159,9 +159,10 @@
         return headers
 
 
-def shows_refusal(status: int) -> bool:
-    """Whether a status shows that an order or a call had no effect."""
-    return 400 <= status < 500 or status == 503
+def failure_outcome(status: int) -> errors.Outcome:
+    """Returns whether a failed order or call may have had an effect."""
+    refused = 400 <= status < 500 or status == 503
+    return errors.Outcome.NOT_RUN if refused else errors.Outcome.UNKNOWN
 
 
 def says_leaving(response: httpclient.Response) -> bool:
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -283,8 +283,7 @@
             if status == _COMPACTED_STATUS
             else errors.Reason.UNAVAILABLE
         )
-        refused = headers.shows_refusal(status)
-        outcome = errors.Outcome.NOT_RUN if refused else errors.Outcome.UNKNOWN
+        outcome = headers.failure_outcome(status)
         return self._failure(reason, outcome, f"status {status}")
 
     def _failure(
