Let the stand-in of the store go back to an older copy

The stand-ins could drop their history, but not lose acknowledged changes, so no test or soak could show the fault of the incident. MemoryKeyValue takes checkpoints and restores them with leases paused or running; the stand-in states its era if one is set.

--- a/carobsail/keyvalue.py
+++ b/carobsail/keyvalue.py
@@ -149,6 +149,27 @@
                 await watch.aclose()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Checkpoint:
+    """A copy of the data of a `MemoryKeyValue`.
+
+    Attributes:
+      made_at: Time of the event loop's clock at which it was made.
+      revision: Revision of the service.
+      next_lease: Identifier of the next lease.
+      values: Values by key.
+      history: All changes up to the revision.
+      leases: Expiry and time to live in seconds, by lease.
+    """
+
+    made_at: float
+    revision: int
+    next_lease: int
+    values: dict[str, KeyValue]
+    history: list[WatchEvent]
+    leases: dict[int, tuple[float, float]]
+
+
 class MemoryKeyValue(KeyValueClient):
     """Key-value service in memory; leases expire by the event loop's clock.
 
@@ -182,6 +203,39 @@
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
 
+    def checkpoint(self) -> Checkpoint:
+        """Returns a copy of the data, to which `restore` can go back."""
+        now = asyncio.get_running_loop().time()
+        return Checkpoint(
+            now,
+            self._revision,
+            self._next_lease,
+            dict(self._values),
+            list(self._history),
+            dict(self._leases),
+        )
+
+    def restore(self, older: Checkpoint, leases_paused: bool) -> None:
+        """Goes back to an older copy; what was written since is lost.
+
+        Args:
+          older: The older copy.
+          leases_paused: Whether the time since the copy was made does not count
+            for the leases in it.
+        """
+        now = asyncio.get_running_loop().time()
+        shift_s = now - older.made_at if leases_paused else 0.0
+        self._revision = older.revision
+        self._next_lease = older.next_lease
+        self._values = dict(older.values)
+        self._history = list(older.history)
+        self._leases = {
+            lease: (expiry + shift_s, ttl_s)
+            for lease, (expiry, ttl_s) in older.leases.items()
+        }
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _begin_call(self, method: str) -> None:
         self.calls[method] = self.calls.get(method, 0) + 1
         self._expire()
--- a/soak/storestandin.py
+++ b/soak/storestandin.py
@@ -24,6 +24,8 @@
       lose_writes: Number of upcoming writes that take effect but whose answer
         is lost.
       calls: Paths of the received calls.
+      era: Value of the header `Store-Era`, which rises by one each time that
+        the store goes back to an older copy; None if it is not sent.
     """
 
     def __init__(self, page_items: int = 2) -> None:
@@ -40,6 +42,8 @@
         self.delay_s = 0.0
         self.lose_writes = 0
         self.calls: list[str] = []
+        self.era: int | None = None
+        self._restored = asyncio.Event()
         self._page_items = page_items
 
     @property
@@ -61,6 +65,22 @@
         """Compacts the history up to the current revision."""
         self.compacted = _expect_success(await self.data.range("")).revision
 
+    def go_back(
+        self, older: keyvalue.Checkpoint, leases_paused: bool = True
+    ) -> None:
+        """Goes back to an older copy of the data; cuts off waiting calls.
+
+        Args:
+          older: The older copy, from `data.checkpoint`.
+          leases_paused: See `keyvalue.MemoryKeyValue.restore`.
+        """
+        self.data.restore(older, leases_paused)
+        self.compacted = min(self.compacted, older.revision)
+        if self.era is not None:
+            self.era += 1
+        self._restored.set()
+        self._restored = asyncio.Event()
+
     async def handle(self, request, responder, caller: str = "") -> None:
         """Answers one call."""
         self.calls.append(request.path)
@@ -68,7 +88,11 @@
             await responder.disconnected.wait()
             return
         refused = self.status or self.refused.get(caller, 0)
+        restored = self._restored
         status, body = (refused, {}) if refused else await self._answer(request)
+        if restored.is_set():
+            responder.abort()
+            return
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.lose_writes and request.method == "POST":
@@ -77,10 +101,13 @@
             return
         await responder.send(
             status,
-            [("content-type", "application/json")],
+            [("content-type", "application/json"), *self._era_header()],
             msgspec.json.encode(body),
         )
 
+    def _era_header(self) -> list[tuple[str, str]]:
+        return [] if self.era is None else [("store-era", str(self.era))]
+
     async def _answer(self, request):
         query = dict(urllib.parse.parse_qsl(request.query, True))
         body = msgspec.json.decode(request.body) if request.body else {}
@@ -115,7 +142,8 @@
 
     async def _watch(self, query):
         after = int(query["after"])
-        if after < self.compacted:
+        revision = _expect_success(await self.data.range("")).revision
+        if not self.compacted <= after <= revision:
             return 410, {}
         wait_s = int(query["waitMs"]) / 1000.0
         events: list[keyvalue.WatchEvent] = []
