Log why the history is lost and when the era of the store changes

A watch answered with 410 and a whole read that is older than the copy gave the same line, so the record cannot tell a store that has gone back from one that drops its history, and nothing read the header Store-Era. The count of keys in copy_read was redacted as a secret; it is named items now. Logs only: tests of the store's client and of the mirror pass as before.

--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import base64
+import logging
 import urllib.parse
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 
 import msgspec
 
-from carobsail import errors, httpclient
+from carobsail import errors, httpclient, telemetry
 from carobsail.keyvalue import (
     Compare,
     Delete,
@@ -39,6 +40,10 @@
 _MAX_RESPONSE_BYTES = 16_777_216
 _HEADERS = [("content-type", "application/json")]
 _COMPACTED_STATUS = 410
+# Rises by one each time that the store comes back from an older copy.
+_ERA_HEADER = "store-era"
+
+_log = logging.getLogger(__name__)
 
 
 class _Item(msgspec.Struct):
@@ -101,10 +106,11 @@
 class PlatformStore(KeyValueClient):
     """See base class; calls the store at one `host:port`."""
 
-    __slots__ = ("_address", "_pool")
+    __slots__ = ("_address", "_era", "_pool")
 
     def __init__(self, address: str) -> None:
         self._address = address
+        self._era = ""
         self._pool = httpclient.ConnectionPool(
             address, _CONNECTIONS, _CONNECT_TIMEOUT_S
         )
@@ -254,6 +260,7 @@
                     return self._failure(
                         response.reason, response.outcome, response.detail
                     )
+                self._log_era(response.header(_ERA_HEADER) or "")
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 content = await response.read_body(
                     _MAX_RESPONSE_BYTES, READ_IDLE_TIMEOUT_S
@@ -277,6 +284,13 @@
                 f"malformed response body: {error}",
             )
 
+    def _log_era(self, era: str) -> None:
+        if era != self._era:
+            telemetry.log(
+                _log, "store_era_changed", era=era[:40], era_before=self._era
+            )
+            self._era = era[:40]
+
     def _refusal(self, status: int) -> errors.Failure:
         reason = (
             errors.Reason.STALE_REVISION
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -229,7 +229,12 @@
             if failure.reason is errors.Reason.STALE_REVISION:
                 # The store answered, but no longer has the changes.
                 complete = False
-                telemetry.log(_log, "history_lost", revision=self.revision)
+                telemetry.log(
+                    _log,
+                    "history_lost",
+                    revision=self.revision,
+                    detail=failure.detail,
+                )
             elif await self._handle_store_failure(failure, complete):
                 await self._pause()
                 continue
@@ -598,7 +603,7 @@
             _log,
             "copy_read",
             source=source,
-            keys=len(result.values),
+            items=len(result.values),
             revision=result.revision,
             revision_before=self.revision,
         )
