Combine era and revision in the client of the store

Callers were refused by routes that had been added, or reached targets that had left, after the store had come back from an older copy: its revisions are given out again, and everything that compares them took the new ones for old. The header Store-Era tells the copies apart, and nothing used it.

The client now combines era and revision into one number that is in order over all eras. A call that states a revision of an earlier era fails unsent, a watch across eras asks for a whole read, pages of two eras are read again, and responses of an earlier era are refused. Without the header the numbers are those of the store.

--- a/carobsail/keyvalue.py
+++ b/carobsail/keyvalue.py
@@ -94,8 +94,22 @@
     Each method returns a `Failure` of step `KEY_VALUE` instead of raising.
     A failed write has outcome NOT_RUN when it was certainly not sent and
     UNKNOWN when it may have taken effect.
+
+    Revisions are in order also if the service loses its last changes; see
+    `storeera`. A call that states a revision of an earlier era fails with
+    reason STALE_REVISION.
     """
 
+    @property
+    def era(self) -> int:
+        """Highest era of the service that a response has stated.
+
+        It rises before the call that received the response returns. Leases are
+        numbered anew in each era, so a result of `grant_lease`, `keep_lease` or
+        `transact` is certain only if the era is the same before and after.
+        """
+        return 0
+
     @abc.abstractmethod
     async def range(self, prefix: str) -> RangeResult | errors.Failure:
         """Reads all values whose key starts with `prefix`, sorted by key."""
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import base64
-import logging
+import dataclasses
 import urllib.parse
 from collections.abc import AsyncIterator
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
-from carobsail import errors, httpclient, telemetry
+from carobsail import errors, httpclient, storeera
 from carobsail.keyvalue import (
     Compare,
     Delete,
@@ -40,11 +40,10 @@
 _MAX_RESPONSE_BYTES = 16_777_216
 _HEADERS = [("content-type", "application/json")]
 _COMPACTED_STATUS = 410
+_CONDITION_FAILED_STATUS = 412
 # Rises by one each time that the store comes back from an older copy.
 _ERA_HEADER = "store-era"
 
-_log = logging.getLogger(__name__)
-
 
 class _Item(msgspec.Struct):
     key: str
@@ -52,10 +51,9 @@
     value: bytes | None = None
     lease: int | None = None
 
-    def to_key_value(self) -> KeyValue:
-        return KeyValue(
-            self.key, self.value or b"", self.revision, self.lease or 0
-        )
+    def to_key_value(self, era: int) -> KeyValue:
+        revision = storeera.combine(era, self.revision)
+        return KeyValue(self.key, self.value or b"", revision, self.lease or 0)
 
 
 class _Page(msgspec.Struct):
@@ -70,9 +68,10 @@
     value: bytes | None = None
     deleted: bool = False
 
-    def to_watch_event(self) -> WatchEvent:
+    def to_watch_event(self, era: int) -> WatchEvent:
         value = None if self.deleted else self.value or b""
-        return WatchEvent(self.key, value, self.revision)
+        revision = storeera.combine(era, self.revision)
+        return WatchEvent(self.key, value, revision)
 
 
 class _Events(msgspec.Struct):
@@ -100,7 +99,21 @@
 
 
 _Result = TypeVar("_Result")
-_Rejection = TypeVar("_Rejection")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Reply(Generic[_Result]):
+    """A response of the store.
+
+    Attributes:
+      body: The decoded body with status 200; other statuses as such.
+      era: Era of the store in which it was given.
+      content: The body before it was decoded.
+    """
+
+    body: _Result | int
+    era: int
+    content: bytes
 
 
 class PlatformStore(KeyValueClient):
@@ -110,11 +123,16 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._era = ""
+        self._era = storeera.ObservedEra()
         self._pool = httpclient.ConnectionPool(
             address, _CONNECTIONS, _CONNECT_TIMEOUT_S
         )
 
+    @property
+    def era(self) -> int:
+        """See base class."""
+        return self._era.current
+
     def close(self) -> None:
         """Closes idle connections."""
         self._pool.close()
@@ -128,15 +146,20 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = await self._call("GET", "/v1/kv-range", _Page, query)
-            if isinstance(page, errors.Failure):
-                return page
+            reply = await self._call("GET", "/v1/kv-range", _Page, query)
+            if isinstance(reply, errors.Failure):
+                return reply
+            page = reply.body
             if isinstance(page, int):
                 return self._refusal(page)
-            values += [item.to_key_value() for item in page.items]
+            if after and reply.era != storeera.era_of(revision):
+                # Pages of two eras are not one listing.
+                values, revision, after = [], 0, ""
+                continue
+            values += [item.to_key_value(reply.era) for item in page.items]
             # The result has the revision of the first page: a watch that starts
             # there also returns changes made between two pages.
-            revision = revision or page.currentRev
+            revision = revision or storeera.combine(reply.era, page.currentRev)
             if not page.hasMore or not page.items:
                 return RangeResult(revision, tuple(values))
             after = page.items[-1].key
@@ -145,51 +168,65 @@
         self, compares: list[Compare], writes: list[Put | Delete]
     ) -> TransactionResult | errors.Failure:
         """See base class."""
+        if any(self._has_passed(c.mod_revision) for c in compares):
+            return self._era_passed(errors.Outcome.NOT_RUN)
         body = {
             "expected": [
-                {"key": c.key, "revision": c.mod_revision} for c in compares
+                {
+                    "key": c.key,
+                    "revision": storeera.revision_of(c.mod_revision),
+                }
+                for c in compares
             ],
             "puts": [_put(w) for w in writes if isinstance(w, Put)],
             "remove": [w.key for w in writes if isinstance(w, Delete)],
         }
-        result = await self._call(
-            "POST", "/v1/kv-txn", _Committed, None, body, rejection=_Rejected
-        )
-        if isinstance(result, errors.Failure):
-            return result
-        if isinstance(result, int):
-            return self._refusal(result)
+        reply = await self._call("POST", "/v1/kv-txn", _Committed, body=body)
+        if isinstance(reply, errors.Failure):
+            return reply
+        result = reply.body
         if isinstance(result, _Committed):
-            return TransactionResult(True, result.revision)
-        present = [i.to_key_value() for i in result.items if i.revision]
+            revision = storeera.combine(reply.era, result.revision)
+            return TransactionResult(True, revision)
+        if result != _CONDITION_FAILED_STATUS:
+            return self._refusal(result)
+        rejected = self._decode(reply.content, _Rejected)
+        if isinstance(rejected, errors.Failure):
+            return rejected
+        present = [
+            i.to_key_value(reply.era) for i in rejected.items if i.revision
+        ]
         return TransactionResult(False, 0, tuple(present))
 
     async def grant_lease(self, ttl_s: float) -> int | errors.Failure:
         """See base class."""
         body = {"ttlMs": round(ttl_s * 1000)}
-        result = await self._call("POST", "/v1/kv-lease", _Granted, None, body)
-        if isinstance(result, errors.Failure):
-            return result
+        reply = await self._call("POST", "/v1/kv-lease", _Granted, body=body)
+        if isinstance(reply, errors.Failure):
+            return reply
+        result = reply.body
         if isinstance(result, int):
             return self._refusal(result)
         return result.lease
 
     async def keep_lease(self, lease: int) -> float | errors.Failure:
         """See base class."""
-        result = await self._call(
-            "POST", f"/v1/kv-keep/{lease}", _Renewed, None, {}
+        reply = await self._call(
+            "POST", f"/v1/kv-keep/{lease}", _Renewed, body={}
         )
-        if isinstance(result, errors.Failure):
-            return result
+        if isinstance(reply, errors.Failure):
+            return reply
+        result = reply.body
         if isinstance(result, int):
             return 0.0 if result == 404 else self._refusal(result)
         return result.ttlMs / 1000.0
 
     async def revoke_lease(self, lease: int) -> None | errors.Failure:
         """See base class; a lease that has already ended is not a failure."""
-        result = await self._call("DELETE", f"/v1/kv-lease-end/{lease}", _Ended)
-        if isinstance(result, errors.Failure):
-            return result
+        reply = await self._call("DELETE", f"/v1/kv-lease-end/{lease}", _Ended)
+        if isinstance(reply, errors.Failure):
+            return reply
+        result = reply.body
         if isinstance(result, int) and result not in (204, 404):
             return self._refusal(result)
         return None
@@ -210,19 +247,29 @@
         self, prefix: str, after: int, wait_s: float
     ) -> list[WatchEvent] | errors.Failure:
         """See base class."""
+        if self._has_passed(after):
+            return self._era_passed(errors.Outcome.NOT_RUN)
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(storeera.revision_of(after)),
             "waitMs": str(round(wait_s * 1000)),
         }
-        result = await self._call(
+        reply = await self._call(
             "GET", "/v1/kv-watch", _Events, query, wait_s=wait_s
         )
-        if isinstance(result, errors.Failure):
-            return result
+        if isinstance(reply, errors.Failure):
+            return reply
+        result = reply.body
         if isinstance(result, int):
             return self._refusal(result)
-        return [event.to_watch_event() for event in result.events]
+        if after and reply.era != storeera.era_of(after):
+            # These are changes after a revision that was given out again.
+            return self._era_passed(errors.Outcome.FAILED)
+        return [event.to_watch_event(reply.era) for event in result.events]
+
+    def _has_passed(self, revision: int) -> bool:
+        """Whether a revision is of an earlier era of the store."""
+        return bool(revision) and storeera.era_of(revision) < self._era.current
 
     async def _call(
         self,
@@ -232,8 +279,7 @@
         query: dict[str, str] | None = None,
         body: Any = None,
         wait_s: float = 0.0,
-        rejection: type[_Rejection] = _Ended,  # type: ignore[assignment]
-    ) -> _Result | _Rejection | int | errors.Failure:
+    ) -> _Reply[_Result] | errors.Failure:
         """Makes one call.
 
         Args:
@@ -243,10 +289,9 @@
           query: Parameters of the query.
           body: Body of the call, before it is encoded.
           wait_s: Seconds for which the store may hold the call.
-          rejection: Type of the body with status 412.
 
         Returns:
-          The decoded body with status 200 or 412, and other statuses as such.
+          The response; a response of an earlier era is a failure.
         """
         if query:
             path += "?" + urllib.parse.urlencode(query, safe="/")
@@ -260,7 +305,12 @@
                     return self._failure(
                         response.reason, response.outcome, response.detail
                     )
-                self._log_era(response.header(_ERA_HEADER) or "")
+                now = asyncio.get_running_loop().time()
+                stated = response.header(_ERA_HEADER)
+                if not self._era.observe(stated, now):
+                    await response.close()
+                    return self._era_passed(errors.Outcome.UNKNOWN)
+                era = self._era.current
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 content = await response.read_body(
                     _MAX_RESPONSE_BYTES, READ_IDLE_TIMEOUT_S
@@ -271,11 +321,17 @@
             return self._failure(
                 content.reason, errors.Outcome.UNKNOWN, content.detail
             )
-        if response.status not in (200, 412):
-            return response.status
+        if response.status != 200:
+            return _Reply(response.status, era, content)
+        decoded = self._decode(content, result_type)
+        if isinstance(decoded, errors.Failure):
+            return decoded
+        return _Reply(decoded, era, content)
+
+    def _decode(
+        self, content: bytes, result_type: type[_Result]
+    ) -> _Result | errors.Failure:
         try:
-            if response.status == 412:
-                return msgspec.json.decode(content, type=rejection)
             return msgspec.json.decode(content, type=result_type)
         except (msgspec.DecodeError, RecursionError) as error:
             return self._failure(
@@ -284,12 +340,13 @@
                 f"malformed response body: {error}",
             )
 
-    def _log_era(self, era: str) -> None:
-        if era != self._era:
-            telemetry.log(
-                _log, "store_era_changed", era=era[:40], era_before=self._era
-            )
-            self._era = era[:40]
+    def _era_passed(self, outcome: errors.Outcome) -> errors.Failure:
+        """Returns the failure of a call whose revision or response is old."""
+        return self._failure(
+            errors.Reason.STALE_REVISION,
+            outcome,
+            f"the store is in era {self._era.current}",
+        )
 
     def _refusal(self, status: int) -> errors.Failure:
         reason = (
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,7 @@
 import builders_io
 import pytest
 
-from carobsail import errors
+from carobsail import errors, httpclient, storeera
 from carobsail.keyvalue import Compare, Delete, Put
 from carobsail.platform.store import (
     BODY_TIMEOUT_S,
@@ -179,3 +179,79 @@
         assert result.reason is errors.Reason.TARGET_ERROR
     client.close()
     server.close()
+
+
+async def fill(standin, client, count):
+    """Writes targets in era 1; returns a copy made before the last two."""
+    standin.era = 1
+    for number in range(count - 2):
+        await put(client, f"servers/{number}")
+    older = standin.data.checkpoint()
+    for number in range(count - 2, count):
+        await put(client, f"servers/{number}")
+    return older
+
+
+async def test_revisions_rise_when_the_store_goes_back(store):
+    """Revisions that were given out again were refused as old."""
+    standin, client = store
+    older = await fill(standin, client, 5)
+    before = await client.range("")
+    standin.go_back(older)
+    after = await client.range("")
+    assert after.revision > before.revision
+    assert len(after.values) == 3
+    assert all(v.mod_revision > before.revision for v in after.values)
+    assert client.era == 2
+
+
+async def test_watch_from_an_earlier_era_asks_for_a_whole_read(store):
+    """Changes below a revision that is given out again were never read."""
+    standin, client = store
+    older = await fill(standin, client, 5)
+    before = (await client.range("")).revision
+    standin.go_back(older)
+    for number in range(9):
+        await standin.put_entry(f"new-{number}", b"v")
+    found = await client.changes("", before, 0.1)
+    assert found.reason is errors.Reason.STALE_REVISION
+    calls = len(standin.calls)
+    found = await client.changes("", before, 0.1)
+    assert found.reason is errors.Reason.STALE_REVISION
+    assert len(standin.calls) == calls
+
+
+async def test_condition_of_an_earlier_era_is_not_sent(store):
+    """A revision that was given out again passed for the one that was read."""
+    standin, client = store
+    older = await fill(standin, client, 3)
+    value = (await client.range("servers/2")).values[0]
+    standin.go_back(older)
+    await put(standin.data, "servers/1")
+    await standin.put_entry("2", b"another")
+    await client.range("")
+    result = await put(client, value.key, b"mine", value.mod_revision)
+    assert result.reason is errors.Reason.STALE_REVISION
+    assert result.outcome is errors.Outcome.NOT_RUN
+
+
+async def test_pages_of_two_eras_are_not_one_listing(store, monkeypatch):
+    """Keys of a lost page stayed in the copy beside those of the next era."""
+    standin, client = store
+    older = await fill(standin, client, 7)
+    calls = []
+    send = httpclient.ConnectionPool.request
+
+    async def request(pool, *args):
+        calls.append(args)
+        if len(calls) == 3:
+            standin.go_back(older)
+        return await send(pool, *args)
+
+    monkeypatch.setattr(httpclient.ConnectionPool, "request", request)
+    listing = await client.range("")
+    assert [v.key for v in listing.values] == [
+        f"servers/{number}" for number in range(5)
+    ]
+    assert {storeera.era_of(v.mod_revision) for v in listing.values} == {2}
+    assert len(calls) > 3
