Carry the era of the store in messages of instances

What callers saw: after the store came back from an older copy, instances compared revisions of two eras in each other's messages as if they were of one, and took a late or lost one for newer.

Cause: datagrams and copies state a revision without its era.

Change: inside the program messages hold combined revisions. The version before ignores the field. A message without it is taken as of the receiver's own era. Eras and revisions out of their range make a message malformed.

Rows of two eras: a value of the next era may be in a copy before that era is read as a whole (`valuereader`). Copies send such a value with its own era, as a key that a full copy lacks is removed; datagrams leave it out. A renewal answer whose lease was renewed in a later era than that of the sender's copy states no revision.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -6,7 +6,13 @@
 
 import asyncio
 
-from carobsail import deputies, keyvalue, members, storemirror, summaries
+from carobsail import (
+    deputies,
+    keyvalue,
+    members,
+    storemirror,
+    summaries,
+)
 
 # Messages name the deputies at most this often. It is less than the 1.8 s for
 # which instances rely on a relay that they do not hear.
@@ -141,6 +147,25 @@
         return f"{address}:{self._operator_port}"
 
 
+def apply(
+    message: summaries.StoreChanges, mirror: storemirror.StoreMirror
+) -> None:
+    """Applies a message of the relay to the mirror of its receiver."""
+    mirror.handle_relay_changes(
+        [
+            storemirror.RelayedChange(
+                keyvalue.WatchEvent(c.key, c.value, c.revision), c.omitted
+            )
+            for c in message.changes
+        ],
+        message.before,
+        message.after,
+        message.source,
+        message.parts,
+        message.part,
+    )
+
+
 def _row(change: keyvalue.WatchEvent) -> summaries.KeyChange:
     omitted = len(change.value or b"") > MAX_MESSAGE_BYTES
     value = None if omitted else change.value
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -23,6 +23,7 @@
     orderlease,
     remoteloads,
     serving,
+    storeera,
     storemirror,
     summaries,
     targetchoice,
@@ -30,6 +31,7 @@
     telemetry,
     tokenbucket,
     unreachable,
+    wirerevisions,
 )
 
 # Interval of summaries: trades the accuracy of the load that instances know of
@@ -88,13 +90,6 @@
 _log = logging.getLogger(__name__)
 
 
-def _to_relayed_change(
-    change: summaries.KeyChange,
-) -> storemirror.RelayedChange:
-    event = keyvalue.WatchEvent(change.key, change.value, change.revision)
-    return storemirror.RelayedChange(event, change.omitted)
-
-
 class Coordination:
     """Coordinates this instance with the others.
 
@@ -381,7 +376,8 @@
         return rows
 
     def _handle_datagram(self, data: bytes, address: tuple[str, int]) -> None:
-        message = summaries.decode(data)
+        own_era = storeera.era_of(self._mirror.revision)
+        message = wirerevisions.decode(data, own_era)
         now = asyncio.get_running_loop().time()
         if message is not None:
             self._accounts.handle(message, address[0])
@@ -399,14 +395,7 @@
                     self._mirror.deputies.update(
                         message.deputies, message.is_deputy
                     )
-                self._mirror.handle_relay_changes(
-                    [_to_relayed_change(change) for change in message.changes],
-                    message.before,
-                    message.after,
-                    message.source,
-                    message.parts,
-                    message.part,
-                )
+                changerelay.apply(message, self._mirror)
         elif isinstance(message, summaries.RenewalRequest):
             self._start_task(
                 self.keeper.renew_for_peer(
--- a/carobsail/members.py
+++ b/carobsail/members.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from carobsail import datagrams, summaries
+from carobsail import datagrams, summaries, wirerevisions
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,7 +74,7 @@
         """Sends a message to one instance."""
         if self.datagrams is not None:
             self.datagrams.send(
-                summaries.encode(message), (address, self._port)
+                wirerevisions.encode(message), (address, self._port)
             )
 
     def send_all(
@@ -90,7 +90,7 @@
         """
         if self.datagrams is None:
             return
-        data = summaries.encode(message)
+        data = wirerevisions.encode(message)
         for peer in self._peers.values():
             if selects(peer):
                 self.datagrams.send(data, (peer.address, self._port))
--- a/carobsail/peersnapshot.py
+++ b/carobsail/peersnapshot.py
@@ -4,13 +4,16 @@
 a configuration it could serve no request, so it reads the copy of one of the
 seed instances in its settings. Instances that follow a deputy (see
 `storemirror`) read its changes in the same way.
+
+Queries and answers carry revisions of the store apart from their era; see
+`wirerevisions`.
 """
 
 import asyncio
 import logging
 import urllib.parse
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -19,6 +22,7 @@
     httpclient,
     keyvalue,
     storecopy,
+    storeera,
     storemirror,
     telemetry,
 )
@@ -53,36 +57,74 @@
 
 
 class _Item(msgspec.Struct, array_like=True, frozen=True):
+    """A value; `era` is None if it is that of the message."""
+
     key: str
     value: bytes
-    revision: int
+    revision: storeera.Revision
+    era: storeera.Era | None = None
 
 
 class _Changes(msgspec.Struct, array_like=True, frozen=True):
-    revision: int
+    """Changes of a copy; `era` is that of all revisions, or None if unknown."""
+
+    revision: storeera.Revision
     age_s: float
     is_full: bool
     items: list[_Item]
-    removed: list[tuple[str, int]]
+    removed: list[tuple[str, storeera.Revision]]
+    era: storeera.Era | None = None
 
 
 def encode(changes: storecopy.CopyChanges) -> bytes:
-    """Returns the compressed bytes of changes of a copy."""
-    items = [_Item(v.key, v.value, v.mod_revision) for v in changes.values]
+    """Returns the compressed bytes of changes of a copy.
+
+    A copy may have values of the next era shortly before it reads that era as a
+    whole. They are sent with their own era, as a key that a full copy lacks
+    counts as removed. Removals of another era are left out: the full read of
+    that era shows them.
+    """
+    era = storeera.era_of(changes.revision)
+    if not changes.revision:
+        eras = (storeera.era_of(v.mod_revision) for v in changes.values)
+        era = max(eras, default=0)
     data = msgspec.msgpack.encode(
         _Changes(
-            changes.revision,
+            storeera.revision_of(changes.revision),
             changes.age_s,
             changes.is_full,
-            items,
-            list(changes.removed),
+            [_item(value, era) for value in changes.values],
+            [
+                (key, storeera.revision_of(revision))
+                for key, revision in changes.removed
+                if storeera.era_of(revision) == era
+            ],
+            era,
         )
     )
     return zlib.compress(data, _COMPRESSION_LEVEL)
 
 
-def decode(data: bytes) -> storecopy.CopyChanges | errors.Failure:
-    """Decodes what `encode` returned."""
+def _item(value: keyvalue.KeyValue, message_era: int) -> _Item:
+    era = storeera.era_of(value.mod_revision)
+    return _Item(
+        value.key,
+        value.value,
+        storeera.revision_of(value.mod_revision),
+        None if era == message_era else era,
+    )
+
+
+def decode(
+    data: bytes, own_era: int = 0
+) -> storecopy.CopyChanges | errors.Failure:
+    """Decodes what `encode` returned.
+
+    Args:
+      data: The bytes.
+      own_era: Era of the receiver, which is taken for that of a message
+        without one.
+    """
     try:
         unpacker = zlib.decompressobj()
         unpacked = unpacker.decompress(data, _MAX_SNAPSHOT_BYTES)
@@ -96,17 +138,46 @@
             "snapshot",
             detail=str(error),
         )
+    era = own_era if result.era is None else result.era
     return storecopy.CopyChanges(
-        result.revision,
+        storeera.combine(era, result.revision),
         result.age_s,
         result.is_full,
         tuple(
-            keyvalue.KeyValue(i.key, i.value, i.revision) for i in result.items
+            keyvalue.KeyValue(
+                i.key,
+                i.value,
+                storeera.combine(era if i.era is None else i.era, i.revision),
+            )
+            for i in result.items
+        ),
+        tuple(
+            (key, storeera.combine(era, revision))
+            for key, revision in result.removed
         ),
-        tuple(result.removed),
     )
 
 
+def _queried_revision(query: Mapping[str, str], name: str, own_era: int) -> int:
+    """Returns a revision that another instance states in a query.
+
+    Raises:
+      KeyError: The query does not state it.
+      ValueError: It is not a revision.
+    """
+    return storeera.combine(
+        _bounded(query.get("era", str(own_era)), storeera.MAX_ERA),
+        _bounded(query[name], storeera.REVISIONS_PER_ERA - 1),
+    )
+
+
+def _bounded(text: str, maximum: int) -> int:
+    number = int(text)
+    if not 0 <= number <= maximum:
+        raise ValueError(f"out of range: {number}")
+    return number
+
+
 async def answer_peer(
     mirror: storemirror.StoreMirror, path: str, query: Mapping[str, str]
 ) -> bytes | errors.Failure:
@@ -115,14 +186,17 @@
     Args:
       mirror: Mirror of the store in this instance.
       path: Path of the request.
-      query: `after` and `wait_ms`, or `key` and `revision`.
+      query: `after` and `wait_ms`, or `key` and `revision`; and the `era` of
+        the revision, which an instance of the version before does not state.
     """
+    own_era = storeera.era_of(mirror.revision)
     try:
         if path == "/changes":
             wait_s = min(MAX_WAIT_S, int(query["wait_ms"]) / 1000.0)
-            changes = await mirror.changes_after(int(query["after"]), wait_s)
-            return encode(changes)
-        key, revision = query["key"], int(query["revision"])
+            after = _queried_revision(query, "after", own_era)
+            return encode(await mirror.changes_after(after, wait_s))
+        key = query["key"]
+        revision = _queried_revision(query, "revision", own_era)
     except (KeyError, ValueError) as error:
         return errors.Failure(
             errors.Reason.BAD_REQUEST,
@@ -138,12 +212,28 @@
 class HttpPeerReader(storecopy.PeerReader):
     """See base class; calls the operator port of the other instance."""
 
+    def __init__(self, own_era: Callable[[], int] = lambda: 0) -> None:
+        """Creates a reader.
+
+        Args:
+          own_era: Returns the era of this instance's copy. An answer without
+            an era, to a call that states no revision, is taken for one of it.
+        """
+        self._own_era = own_era
+
     async def read_value(
         self, address: str, key: str, revision: int
     ) -> keyvalue.KeyValue | None | errors.Failure:
         """See base class."""
-        query = urllib.parse.urlencode({"key": key, "revision": revision})
-        result = await _read(address, f"/value?{query}", VALUE_WAIT_S)
+        era = storeera.era_of(revision)
+        query = urllib.parse.urlencode(
+            {
+                "key": key,
+                "revision": storeera.revision_of(revision),
+                "era": era,
+            }
+        )
+        result = await _read(address, f"/value?{query}", VALUE_WAIT_S, era)
         if isinstance(result, errors.Failure):
             return result
         return next((v for v in result.values if v.key == key), None)
@@ -153,8 +243,12 @@
     ) -> storecopy.CopyChanges | errors.Failure:
         """See base class."""
         wait_ms = round(1000 * wait_s)
-        path = f"/changes?after={after}&wait_ms={wait_ms}"
-        return await _read(address, path, wait_s)
+        era = storeera.era_of(after) if after else self._own_era()
+        path = (
+            f"/changes?after={storeera.revision_of(after)}"
+            f"&wait_ms={wait_ms}&era={era}"
+        )
+        return await _read(address, path, wait_s, era)
 
 
 async def adopt_from_seeds(
@@ -185,7 +279,8 @@
                     "snapshot_adopted",
                     peer=seed,
                     keys=len(result.values),
-                    revision=result.revision,
+                    revision=storeera.revision_of(result.revision),
+                    era=storeera.era_of(result.revision),
                     age_s=result.age_s,
                 )
                 mirror.adopt(result.values, seed)
@@ -193,7 +288,7 @@
 
 
 async def _read(
-    address: str, path: str, wait_s: float
+    address: str, path: str, wait_s: float, own_era: int = 0
 ) -> storecopy.CopyChanges | errors.Failure:
     pool = httpclient.ConnectionPool(address, 1, _CONNECT_TIMEOUT_S)
     try:
@@ -216,4 +311,4 @@
         return pool.failure(errors.Reason.TIMEOUT, "no answer")
     finally:
         pool.close()
-    return body if isinstance(body, errors.Failure) else decode(body)
+    return body if isinstance(body, errors.Failure) else decode(body, own_era)
--- a/carobsail/summaries.py
+++ b/carobsail/summaries.py
@@ -4,13 +4,16 @@
 with the aggregated state to each instance. So the number of messages grows
 linearly with the number of instances, not quadratically. A lost message only
 costs accuracy, because each message carries absolute values, not differences.
+
+Revisions of the store are sent without their era, which is a field of its own;
+inside the program they are combined with it. See `wirerevisions`.
 """
 
 import zlib
 
 import msgspec
 
-from carobsail import latencymodel
+from carobsail import latencymodel, storeera
 
 
 class TargetUsage(msgspec.Struct, array_like=True, frozen=True):
@@ -250,6 +253,7 @@
       answered: Traits of these crashes that targets have answered.
       account_number: Number of the last `AccountUpdate` round; 0 if no account
         has a limit.
+      era: Era of `store_revision`, only while the message is encoded.
     """
 
     fence: int
@@ -258,7 +262,7 @@
     loads: list[TargetUsage]
     incoming_models: list[IncomingModel] | None
     members: int
-    store_revision: int = 0
+    store_revision: storeera.Revision = 0
     store_age_s: float = -1.0
     unreachable: list[AvoidedTarget] = []
     rates: list[ModelRate] = []
@@ -269,6 +273,7 @@
     crashes: list[CrashReport] = []
     answered: list[AnsweredTrait] = []
     account_number: int = 0
+    era: storeera.Era | None = None
 
 
 class AccountGrant(msgspec.Struct, array_like=True, frozen=True):
@@ -330,7 +335,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: storeera.Revision
     omitted: bool = False
 
 
@@ -355,17 +360,21 @@
         again and sends the differences from its copy at `before`; 0 if these
         are all changes since then.
       part: Index of this message among them, from 0.
+      era: Era of `after` and the changes, only while the message is encoded.
+      before_era: Era of `before`, only while the message is encoded.
     """
 
     fence: int
-    before: int
-    after: int
+    before: storeera.Revision
+    after: storeera.Revision
     changes: list[KeyChange]
     source: str
     deputies: list[str] | None = None
     is_deputy: bool = False
     parts: int = 0
     part: int = 0
+    era: storeera.Era | None = None
+    before_era: storeera.Era | None = None
 
 
 class RenewalRequest(
@@ -391,11 +400,14 @@
       number: Number of the request.
       ttl_s: Seconds for which the lease was renewed; 0 if it had ended.
       store_revision: Revision of the sender's copy of the store.
+      era: Era of the store that has renewed the lease; None if the sender does
+        not tell.
     """
 
     number: int
     ttl_s: float
-    store_revision: int = 0
+    store_revision: storeera.Revision = 0
+    era: storeera.Era | None = None
 
 
 Message = (
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -28,9 +28,11 @@
     modeldemand,
     orderlease,
     storecopy,
+    storeera,
     storemirror,
     summaries,
     telemetry,
+    wirerevisions,
 )
 
 pytestmark = pytest.mark.memory_network
@@ -912,3 +914,31 @@
     await asyncio.sleep(3.0)
     assert group.holders() == [first]
     assert ("k", b"v") in group.seen[first]
+
+
+async def test_messages_of_an_earlier_era_show_no_gap(group, caplog):
+    """A late message made an instance read copies of other instances."""
+    (first,) = group.holders()
+    other = (first + 1) % 4
+    instance, mirror = group.instances[other], group.mirrors[other]
+    mirror.copy.revision = storeera.combine(1, 50)
+    status = msgspec.structs.replace(
+        group.instances[first]._make_update([], [], True, []),
+        store_revision=1000,
+    )
+    answer = summaries.RenewalAnswer(number=-1, ttl_s=1.0, store_revision=1000)
+    for encode, is_gap in (
+        (wirerevisions.encode, False),  # States the era 0.
+        (summaries.encode, True),  # Like the version before.
+    ):
+        reads = group.peer_reads
+        status = msgspec.structs.replace(status, number=status.number + 1)
+        for message in (status, answer):
+            instance._handle_datagram(encode(message), ("10.0.0.1", 7000))
+        await asyncio.sleep(0)
+        assert mirror._has_gap == is_gap
+        assert (group.peer_reads > reads) == is_gap
+    malformed = msgspec.structs.replace(status, era=2**13)
+    caplog.clear()
+    instance._handle_datagram(summaries.encode(malformed), ("10.0.0.1", 7000))
+    assert [r.msg["event"] for r in caplog.records] == ["datagram_malformed"]
--- a/tests/test_peersnapshot.py
+++ b/tests/test_peersnapshot.py
@@ -1,53 +1,23 @@
 """Guards how instances read the copies of others."""
 
 import asyncio
-import functools
-import random
 import zlib
 
 import builders_io
 import pytest
+from builders_copies import mirror_of, serve_copy
 
 from carobsail import (
     errors,
     keyvalue,
-    operatorport,
     peersnapshot,
     storecopy,
     summaries,
 )
-from carobsail.storemirror import StoreMirror
 
 pytestmark = pytest.mark.memory_network
 
 
-def mirror_of(seen=None):
-    """Returns the mirror of an instance that does not reach the store."""
-    store = keyvalue.MemoryKeyValue()
-    store.available = False
-    return StoreMirror(
-        store,
-        "",
-        lambda events, before, after: (
-            None if seen is None else seen.extend(events)
-        ),
-        lambda _: None,
-        random.Random(1),
-        peersnapshot.HttpPeerReader(),
-    )
-
-
-async def serve_copy(mirror):
-    """Returns a server that answers other instances from a mirror."""
-    port = operatorport.OperatorPort(
-        dict,
-        lambda: True,
-        lambda: True,
-        answer_peer=functools.partial(peersnapshot.answer_peer, mirror),
-    )
-    return await builders_io.start_server(port.handle)
-
-
 async def test_copy_of_a_seed_is_adopted():
     """An instance that starts without the store has no configuration."""
     known = mirror_of()
