State a new era of the store instead of sending all keys

What callers saw: nothing yet; found when the era was added. After the store has come back in a higher era every key has a new revision, so that the relay would send the whole store as datagrams to each instance.

Cause: the relay sends all changes of its copy.

Change: `ChangeRelay.send` sends nothing if the era has risen, and returns False. The coordinator then sends an update at once, numbered like its periodic ones, and the others read the copy of a deputy.

--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -10,6 +10,7 @@
     deputies,
     keyvalue,
     members,
+    storeera,
     storemirror,
     summaries,
 )
@@ -62,9 +63,14 @@
         before: int,
         after: int,
         complete: bool = True,
-    ) -> None:
+    ) -> bool:
         """Sends changes of the store to all other instances.
 
+        Load pattern: the store has come back in a higher era, in which every
+        key has a new revision. As datagrams, the whole store would cross the
+        relay's link once for each instance; instances that learn of the new
+        revision read the copy of a deputy instead.
+
         Args:
           fence: Fencing token of the coordinator.
           changes: The changes that matter to other instances.
@@ -72,7 +78,13 @@
           after: Revision up to which this instance's copy is complete.
           complete: Whether all removals between the two revisions are known;
             False after a full read of the store.
+
+        Returns:
+          Whether the changes were sent; False if the era of the store has
+          risen, and the others have to be told the new revision.
         """
+        if before and storeera.era_of(before) < storeera.era_of(after):
+            return False
         rows = [_row(change) for change in changes]
         messages = _split(rows, group_by_revision=complete) or [[]]
         if complete:
@@ -82,11 +94,12 @@
                 before = batch[-1].revision
             if messages[-1] or after > before:
                 self._send(fence, messages[-1], before, after)
-            return
+            return True
         # A full read dates all removals to its own revision, so that only all
         # messages together complete a copy.
         for part, batch in enumerate(messages):
             self._send(fence, batch, before, after, len(messages), part)
+        return True
 
     def _send(
         self,
--- a/carobsail/coordination.py
+++ b/carobsail/coordination.py
@@ -742,9 +742,11 @@
         """
         if self.lease.fence:
             complete = self._mirror.copy.knows_removals_since(before)
-            self._change_relay.send(
+            if not self._change_relay.send(
                 self.lease.fence, changes, before, after, complete
-            )
+            ):
+                # States the new revision, so that the others read a copy.
+                self._broadcast_update([], [], numbered=True)
 
     def _broadcast_update(
         self,
--- a/tests/test_changerelay.py
+++ b/tests/test_changerelay.py
@@ -3,7 +3,7 @@
 import pytest
 from builders_mirrors import RecordingKnownPeers
 
-from carobsail import changerelay, keyvalue
+from carobsail import changerelay, keyvalue, storeera
 
 pytestmark = pytest.mark.memory_network
 
@@ -53,3 +53,16 @@
         "10.1.0.3": (["10.1.0.1:8144", "10.1.0.2:8144"], False),
     }
     assert relay.own_deputies() == ["10.0.0.2:8144", "10.1.0.1:8144"]
+
+
+async def test_a_new_era_is_not_sent_as_changes():
+    """The whole store crossed the relay's link once for each instance."""
+    recorder = RecordingKnownPeers(("b-1", "10.1.0.1", "b"))
+    relay = relay_of(recorder)
+    first = storeera.combine(1, 5)
+    changes = [keyvalue.WatchEvent("op/config", b"{}", first)]
+    assert not relay.send(1, changes, 9, first, complete=False)
+    assert not recorder.messages
+    assert relay.send(1, changes, first - 1, first)
+    assert relay.send(1, changes, 0, first, complete=False)
+    assert len(recorder.messages["10.1.0.1"]) == 2
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -916,6 +916,30 @@
     assert ("k", b"v") in group.seen[first]
 
 
+async def test_followers_learn_of_a_new_era_without_its_values(group):
+    """Every key of the store was sent to each instance as a datagram."""
+    (first,) = group.holders()
+    others = [n for n in range(4) if n != first]
+    mirror = group.mirrors[first]
+    before, after = mirror.revision, storeera.combine(1, 5)
+    changes = [keyvalue.WatchEvent(f"k{n}", b"v" * 900, after) for n in "abc"]
+    mirror.copy.apply(changes, after)
+    sent = []
+    endpoint = group.instances[first]._known_peers.datagrams
+    endpoint.send = lambda data, address: (
+        sent.append(wirerevisions.decode(data, 0)),
+        MemoryDatagrams.send(endpoint, data, address),
+    )
+    group.instances[first].relay(changes, before, after)
+    assert [m.store_revision for m in sent] == [after] * 3
+    await asyncio.sleep(0)
+    assert all(group.mirrors[n]._has_gap for n in others)
+    numbers = [group.instances[n]._update_number for n in others]
+    await asyncio.sleep(coordination.SUMMARY_INTERVAL_S * 1.2)
+    for n, number in zip(others, numbers, strict=True):
+        assert group.instances[n]._update_number > number
+
+
 async def test_messages_of_an_earlier_era_show_no_gap(group, caplog):
     """A late message made an instance read copies of other instances."""
     (first,) = group.holders()
