--- a/carobsail/changerelay.py
+++ b/carobsail/changerelay.py
@@ -6,7 +6,14 @@
 
 import asyncio
 
-from carobsail import deputies, keyvalue, members, storemirror, summaries
+from carobsail import (
+    deputies,
+    keyvalue,
+    members,
+    storeera,
+    storemirror,
+    summaries,
+)
 
 # Messages name the deputies at most this often. It is less than the 1.8 s for
 # which instances rely on a relay that they do not hear.
@@ -56,9 +63,14 @@
         before: int,
         after: int,
         complete: bool = True,
-    ) -> None:
+    ) -> bool:
         """Sends changes of the store to all other instances.
 
+        Load pattern: the store has come back in a higher era, in which every
+        key has a new revision. As datagrams, the whole store would cross the
+        relay's link once for each instance; instances that learn of the new
+        revision read the copy of a deputy instead.
+
         Args:
           fence: Fencing token of the coordinator.
           changes: The changes that matter to other instances.
@@ -66,7 +78,13 @@
           after: Revision up to which this instance's copy is complete.
           complete: Whether all removals between the two revisions are known;
             False after a full read of the store.
+
+        Returns:
+          Whether the changes were sent; False if the era of the store has
+          risen, and the others have to be told the new revision.
         """
+        if before and storeera.era_of(before) < storeera.era_of(after):
+            return False
         rows = [_row(change) for change in changes]
         messages = _split(rows, group_by_revision=complete) or [[]]
         if complete:
@@ -76,11 +94,12 @@
                 before = batch[-1].revision
             if messages[-1] or after > before:
                 self._send(fence, messages[-1], before, after)
-            return
+            return True
         # A full read dates all removals to its own revision, so that only all
         # messages together complete a copy.
         for part, batch in enumerate(messages):
             self._send(fence, batch, before, after, len(messages), part)
+        return True
 
     def _send(
         self,
@@ -141,6 +160,25 @@
         return f"{address}:{self._operator_port}"
 
 
+def apply(
+    message: summaries.StoreChanges, mirror: storemirror.StoreMirror
+) -> None:
+    """Applies a message of the relay to the mirror of its receiver."""
+    mirror.handle_relay_changes(
+        [
+            storemirror.RelayedChange(
+                keyvalue.WatchEvent(c.key, c.value, c.revision), c.omitted
+            )
+            for c in message.changes
+        ],
+        message.before,
+        message.after,
+        message.source,
+        message.parts,
+        message.part,
+    )
+
+
 def _row(change: keyvalue.WatchEvent) -> summaries.KeyChange:
     omitted = len(change.value or b"") > MAX_MESSAGE_BYTES
     value = None if omitted else change.value
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -32,6 +32,7 @@
     routetable,
     serving,
     settings,
+    storeera,
     storemirror,
     targetchoice,
     targetquery,
@@ -139,7 +140,9 @@
             self._apply_changes,
             self._record_store_contact,
             rng,
-            peersnapshot.HttpPeerReader(),
+            peersnapshot.HttpPeerReader(
+                lambda: storeera.era_of(self._mirror.revision)
+            ),
         )
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
@@ -242,7 +245,7 @@
         return {
             "store": {
                 "reachable": self._mirror.store_reachable,
-                "revision": self._mirror.revision,
+                "revision": storeera.describe(self._mirror.revision),
             },
             "configuration": {
                 "version": route_table.version if route_table else 0
--- a/carobsail/storeera.py
+++ b/carobsail/storeera.py
@@ -9,6 +9,9 @@
 
 import dataclasses
 import logging
+from typing import Annotated
+
+import msgspec
 
 from carobsail import telemetry
 
@@ -23,6 +26,10 @@
 # Length of a statement that the log shows.
 _MAX_LOGGED_CHARACTERS = 40
 
+# Types of an era and of a revision without it, as other processes send them.
+Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
+Revision = Annotated[int, msgspec.Meta(ge=0, lt=REVISIONS_PER_ERA)]
+
 _log = logging.getLogger(__name__)
 
 
