Show that mirrors miss what is written after the store goes back

Callers saw versions that were confirmed and not in force, and requests to targets whose leaving was acknowledged, for as long as the store's revision was below the copies', and for good after that.

Changes are recognised by value, since revisions are given out again. The stand-in no longer sends an answer of one era with the header of the next.

--- a/soak/storestandin.py
+++ b/soak/storestandin.py
@@ -90,11 +90,11 @@
         refused = self.status or self.refused.get(caller, 0)
         restored = self._restored
         status, body = (refused, {}) if refused else await self._answer(request)
-        if restored.is_set():
-            responder.abort()
-            return
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        if restored.is_set():  # Its data and its era may differ.
+            responder.abort()
+            return
         if self.lose_writes and request.method == "POST":
             self.lose_writes -= 1
             responder.abort()
--- a/tests/builders_faults.py
+++ b/tests/builders_faults.py
@@ -34,18 +34,46 @@
 
     Attributes:
       key: The key.
-      revision: Its revision.
+      value: Its value; None if it was removed.
       at: When it was acknowledged.
     """
 
     key: str
-    revision: int
+    value: bytes | None
     at: float
 
+    def delay_s(self, instance: Instance) -> float:
+        """Returns how long the instance took to know it, or a newer version.
+
+        Revisions are not compared: a store that goes back gives them out again.
+        """
+        if self.is_known_at(instance, self.at):
+            return 0.0
+        arrivals = instance.arrivals.get(self.key, [])
+        times = [at for v, at in arrivals if at > self.at and self._fits(v)]
+        return min(times, default=float("inf")) - self.at
+
+    def is_known_at(self, instance: Instance, at: float) -> bool:
+        """Whether the instance knew it, or a newer version, at a time."""
+        arrivals = instance.arrivals.get(self.key, [])
+        newest = [v for v, arrived_at in arrivals if arrived_at <= at][-1:]
+        return any(self._fits(v) for v in newest)
+
+    def _fits(self, arrived: bytes | None) -> bool:
+        if self.key != CONFIGURATION or arrived is None or self.value is None:
+            return arrived == self.value
+        return int(arrived[:8]) >= int(self.value[:8])
+
 
 @dataclasses.dataclass(slots=True)
 class Disturbance:
-    """A period in which an instance was cut off from the store or frozen."""
+    """A period in which an instance was cut off from the store or frozen.
+
+    Attributes:
+      instance: Name of the instance; empty for all, while the store is away.
+      start: When it began.
+      end: When it ended.
+    """
 
     instance: str
     start: float
@@ -87,7 +115,7 @@
         fleet = self._fleet
         await fleet.change(1, CONFIGURATION_BYTES[1])
         for key in self._unused_targets:
-            await fleet.put(key, b"in_service")
+            await fleet.write(key, b"in_service")
         await fleet.start()
         await asyncio.sleep(WARM_UP_S)
         fleet.delivery.is_lost = lambda: self._rng.random() < LOSS_PROBABILITY
@@ -105,18 +133,13 @@
         await fleet.stop()
         return [
             f"{change.key} of {change.at:.2f} s at {instance.name}: "
-            f"{self._delay_s(instance, change):.2f} s"
+            f"{change.delay_s(instance):.2f} s"
             for change in self._changes
             for instance in fleet.instances
             if self._is_bound(instance, change)
-            and self._delay_s(instance, change) > self._bound_s
+            and change.delay_s(instance) > self._bound_s
         ]
 
-    def _delay_s(self, instance: Instance, change: Change) -> float:
-        arrivals = instance.change_times.get(change.key, [])
-        times = [at for revision, at in arrivals if revision >= change.revision]
-        return min(times, default=float("inf")) - change.at
-
     def _is_bound(self, instance: Instance, change: Change) -> bool:
         """Whether the instance was undisturbed, so that the bound applies."""
         return not any(
@@ -185,13 +208,12 @@
                 if kind == "version"
                 else self._unused_targets.pop()
             )
+            value: bytes | None = b"draining"
             if kind == "version":
                 version += 1
                 value = configuration(version, rng.choice(CONFIGURATION_BYTES))
-                revision = await self._fleet.put(key, value)
-            elif kind == "leaving":
-                revision = await self._fleet.put(key, b"draining")
-            else:
-                revision = await self._fleet.remove(key)
+            elif kind == "gone":
+                value = None
+            await self._fleet.write(key, value)
             now = asyncio.get_running_loop().time()
-            self._changes.append(Change(key, revision, now))
+            self._changes.append(Change(key, value, now))
--- a/tests/builders_mirrors.py
+++ b/tests/builders_mirrors.py
@@ -80,7 +80,7 @@
       cut_off: Whether it does not reach the store.
       frozen: Whether it does not answer other instances.
       version_times: When each version of the configuration arrived.
-      change_times: Revision and arrival time of each change, by key.
+      arrivals: Value (None: removed) and arrival time of each change, by key.
     """
 
     def __init__(self, fleet: "Fleet", number: int, data_centre: str) -> None:
@@ -90,7 +90,7 @@
         self.cut_off = False
         self.frozen = False
         self.version_times: dict[int, float] = {}
-        self.change_times: dict[str, list[tuple[int, float]]] = {}
+        self.arrivals: dict[str, list[tuple[bytes | None, float]]] = {}
         self.uplink = Link(INSTANCE_BITS_PER_S)
         self._fleet = fleet
         store_address = f"{self.address.replace('10.', '11.', 1)}"
@@ -109,8 +109,8 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         for change in changes:
-            arrivals = self.change_times.setdefault(change.key, [])
-            arrivals.append((change.mod_revision, now))
+            arrivals = self.arrivals.setdefault(change.key, [])
+            arrivals.append((change.value, now))
             if change.key == CONFIGURATION and change.value is not None:
                 self.version_times.setdefault(int(change.value[:8]), now)
         if self._fleet.relay is self:
@@ -208,9 +208,14 @@
 
 
 class Fleet:
-    """Instances in the store's region (`near`) and in another one."""
+    """Instances in the store's region (`near`) and in another one.
+
+    Attributes:
+      renews_targets: Whether targets renew their entries.
+    """
 
     def __init__(self, near: int, far: int, far_data_centres: int) -> None:
+        self.renews_targets = True
         self.data_centres = [
             "near",
             *(f"far{n}" for n in range(far_data_centres)),
@@ -238,16 +243,12 @@
         """Returns the instance with an address."""
         return self._by_address[address]
 
-    async def put(self, key: str, value: bytes) -> int:
-        """Writes to the store; returns the revision."""
-        return await self._write(keyvalue.Put(key, value))
-
-    async def remove(self, key: str) -> int:
-        """Removes a key from the store; returns the revision."""
-        return await self._write(keyvalue.Delete(key))
-
-    async def _write(self, write: keyvalue.Put | keyvalue.Delete) -> int:
-        return (await self.store.data.transact([], [write])).revision
+    async def write(self, key: str, value: bytes | None) -> None:
+        """Writes to the store; removes the key for None."""
+        write = (
+            keyvalue.Delete(key) if value is None else keyvalue.Put(key, value)
+        )
+        await self.store.data.transact([], [write])
 
     async def start(self) -> None:
         """Starts all instances; the first one becomes coordinator and relay."""
@@ -274,7 +275,9 @@
         while True:
             await asyncio.sleep(0.1)
             number += 1
-            await self.put(f"servers/{number % 40}", b"%d" % number * 40)
+            if self.store.down or not self.renews_targets:
+                continue
+            await self.write(f"servers/{number % 40}", b"%d" % number * 40)
 
     async def _send_relay_status(self) -> None:
         """Sends the relay's revision, as its periodic status does."""
@@ -294,7 +297,7 @@
 
     async def change(self, version: int, size: int) -> float:
         """Writes a configuration; returns when it was acknowledged."""
-        await self.put(CONFIGURATION, configuration(version, size))
+        await self.write(CONFIGURATION, configuration(version, size))
         return asyncio.get_running_loop().time()
 
     def late_instances(
@@ -320,6 +323,21 @@
             > since + bound_s
         ]
 
+    async def different_copies(self) -> list[str]:
+        """Returns where and how copies differ from the data of the store."""
+        listing = await self.store.data.range("")
+        stored = {v.key: v.value for v in listing.values}
+        return [
+            f"{instance.name}: {key} is {describe(copied.get(key))} and not "
+            f"{describe(stored.get(key))}"
+            for instance in self.instances
+            for copied in [
+                {v.key: v.value for v in instance.mirror.copy.values()}
+            ]
+            for key in sorted(stored.keys() | copied.keys())
+            if copied.get(key) != stored.get(key)
+        ]
+
     async def stop(self) -> None:
         """Cancels all background tasks."""
         for task in self._tasks:
@@ -327,6 +345,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+def describe(value: bytes | None) -> str:
+    """Returns the start of a value, such as the version of a configuration."""
+    return "gone" if value is None else value[:8].decode("ascii", "replace")
+
+
 def configuration(version: int, size: int) -> bytes:
     """Returns a configuration that begins with its version.
 
