Read the whole store when its era rises, and rely on no earlier era

With combined revisions a whole read of the new era replaces the copy. What was still let in are changes of another era than that of the copy: a late one restored a key that is lost, one of the next era made a copy claim to be complete, and a relay that has missed the loss was relied on while it called.

The copy takes changes of its own era only, a later era needs a whole read, and a relay or deputy of an earlier era than the store has stated is passed over. Log lines show era and revision.

--- a/carobsail/storecopy.py
+++ b/carobsail/storecopy.py
@@ -2,14 +2,15 @@
 
 The copy only moves forward. Changes arrive from several sources, in any order
 and more than once: from the store, from the coordinator and from other
-instances.
+instances. If the store comes back from an older copy, a full read of the new
+era replaces the copy; see `storeera`.
 """
 
 import abc
 import dataclasses
 from collections.abc import Iterable
 
-from carobsail import errors, keyvalue
+from carobsail import errors, keyvalue, storeera
 
 # Removed keys that are remembered (tombstones). In a fleet of 12,000 engines
 # targets and instances leave some 10 times a minute.
@@ -135,11 +136,21 @@
         """
         return self._removals_known_after <= revision
 
+    def is_of_era(self, revision: int) -> bool:
+        """Whether a revision is of the copy's era; any is before a read."""
+        return not self.revision or (
+            storeera.era_of(revision) == storeera.era_of(self.revision)
+        )
+
     def apply(
         self, events: list[keyvalue.WatchEvent], revision: int
     ) -> list[keyvalue.WatchEvent]:
         """Applies changes; returns those that were not known, in order.
 
+        Changes of another era than that of the copy are ignored: those of an
+        earlier one may be lost, and those of a later one do not complete a copy
+        of keys that may be lost.
+
         Args:
           events: Changes, in any order.
           revision: Revision up to which the copy is complete with them; 0 if
@@ -148,6 +159,8 @@
         self.revision = max(self.revision, revision)
         new_changes = []
         for event in sorted(events, key=lambda e: e.mod_revision):
+            if not self.is_of_era(event.mod_revision):
+                continue
             current = self._values.get(event.key)
             newest = current.mod_revision if current else 0
             if event.mod_revision <= max(
@@ -219,6 +232,8 @@
                 return []
             listing = keyvalue.RangeResult(changes.revision, changes.values)
             return self.apply_listing(listing)
+        if not self.is_of_era(changes.revision):
+            return []
         removals = [
             keyvalue.WatchEvent(key, None, revision)
             for key, revision in changes.removed
--- a/carobsail/storemirror.py
+++ b/carobsail/storemirror.py
@@ -1,7 +1,9 @@
 """Keeps a local copy of the keys of the key-value store up to date.
 
 The copy only moves forward: each change is applied once, in the order of its
-revision, and an outage of the store leaves the copy as it is.
+revision, and an outage of the store leaves the copy as it is. If the store
+comes back from an older copy, its era rises; instances serve from their copy
+until they have read the store as a whole.
 
 If every instance watched the store itself, the number of calls would grow with
 instances times changes. So one instance, the coordinator, watches the store and
@@ -24,6 +26,7 @@
     errors,
     keyvalue,
     storecopy,
+    storeera,
     telemetry,
     valuereader,
 )
@@ -124,6 +127,7 @@
         "_peer_reader",
         "_relay_valid_until",
         "_advanced",
+        "_announced",
         "_value_reader",
         "store_answered_at",
         "copy",
@@ -184,6 +188,8 @@
         # When to check the deputy; None once it was checked.
         self._check_deputy_at: float | None = None
         self._has_gap = False
+        # Highest revision that the relay has announced.
+        self._announced = 0
         self._partial_listing = _PartialListing(0, 0, set())
         self._relay_heard = asyncio.Event()
         # Set, and replaced by a new event, each time the copy moves forward.
@@ -202,6 +208,11 @@
         """Seconds since the store was known to be at the copy's revision."""
         return asyncio.get_running_loop().time() - self._verified_at
 
+    @property
+    def _era_passed(self) -> bool:
+        """Whether the store has stated a later era than that of the copy."""
+        return storeera.era_of(self.revision) < self._client.era
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         retry_s = valuereader.FIRST_RETRY_S
@@ -232,7 +243,7 @@
                 telemetry.log(
                     _log,
                     "history_lost",
-                    revision=self.revision,
+                    revision=storeera.describe(self.revision),
                     detail=failure.detail,
                 )
             elif await self._handle_store_failure(failure, complete):
@@ -255,7 +266,7 @@
             telemetry.log(
                 _log,
                 "store_lost",
-                revision=self.revision,
+                revision=storeera.describe(self.revision),
                 reason=str(failure.reason),
                 detail=failure.detail,
             )
@@ -287,7 +298,7 @@
                 "changes_followed",
                 source=source,
                 source_before=self._followed_source,
-                revision=self.revision,
+                revision=storeera.describe(self.revision),
                 age_s=self.age_s,
             )
             self._followed_source = source
@@ -366,6 +377,8 @@
         result = await self._read_deputy(address, DEPUTY_WAIT_S)
         if result is None:
             return False
+        if storeera.era_of(result.revision) < self._client.era:
+            return False
         now = asyncio.get_running_loop().time()
         if result.age_s > MAX_DEPUTY_AGE_S:
             self.deputies.mark_failed(address, now)
@@ -374,11 +387,13 @@
                 "deputy_behind",
                 peer=address,
                 age_s=result.age_s,
-                revision=result.revision,
+                revision=storeera.describe(result.revision),
             )
             return False
         # The relay may have announced changes that the deputy does not have.
-        self._has_gap = result.revision < self.revision
+        self._has_gap = result.revision < self.revision or (
+            storeera.era_of(result.revision) < storeera.era_of(self._announced)
+        )
         self._set_followed_source(address)
         return True
 
@@ -436,6 +451,7 @@
         return (
             not self.is_relay
             and not self._has_gap
+            and not self._era_passed
             and now < self._relay_valid_until
         )
 
@@ -481,6 +497,10 @@
           revision: Revision up to which the relay's copy is complete.
           age_s: Seconds since the store last answered the relay.
         """
+        if storeera.era_of(revision) < storeera.era_of(self.revision):
+            # The relay does not know what the store has lost.
+            self.handle_relay_stop()
+            return
         now = asyncio.get_running_loop().time()
         self._check_deputy_at = now + min(
             RELAY_SUSPECT_S, RELAY_STALE_S - age_s
@@ -526,6 +546,7 @@
         if not self.revision:
             return
         fits = before == self.revision if parts else before <= self.revision
+        fits = fits and self.copy.is_of_era(after)
         if not fits:
             if after > self.revision:
                 self._note_gap(after)
@@ -575,11 +596,12 @@
             telemetry.log(
                 _log,
                 "changes_missed",
-                revision=self.revision,
-                announced_revision=announced,
+                revision=storeera.describe(self.revision),
+                announced_revision=storeera.describe(announced),
                 age_s=self.age_s,
             )
         self._has_gap = True
+        self._announced = max(self._announced, announced)
 
     async def _read_all(self) -> errors.Failure | None:
         result = await self._read_relay_copy()
@@ -596,16 +618,17 @@
                 errors.Reason.STALE_REVISION,
                 errors.Step.KEY_VALUE,
                 "store",
-                detail=f"read revision {result.revision}, older than the "
-                f"copy's revision {self.revision}",
+                detail="read revision "
+                f"{storeera.describe(result.revision)}, older than the copy's "
+                f"revision {storeera.describe(self.revision)}",
             )
         telemetry.log(
             _log,
             "copy_read",
             source=source,
             items=len(result.values),
-            revision=result.revision,
-            revision_before=self.revision,
+            revision=storeera.describe(result.revision),
+            revision_before=storeera.describe(self.revision),
         )
         before = self.revision
         self._has_gap = False
@@ -636,8 +659,8 @@
                 _log,
                 "peer_copy_taken",
                 peer=address,
-                before=before,
-                revision=result.revision,
+                before=storeera.describe(before),
+                revision=storeera.describe(result.revision),
             )
 
     async def _read_relay_copy(self) -> keyvalue.RangeResult | None:
@@ -663,6 +686,8 @@
                 detail=result.detail,
             )
             return None
+        if storeera.era_of(result.revision) < self._client.era:
+            return None
         relay_valid = (
             asyncio.get_running_loop().time() < self._relay_valid_until
         )
@@ -697,7 +722,11 @@
     def _record_contact(self) -> None:
         """Records that the store answered."""
         if not self.store_reachable:
-            telemetry.log(_log, "store_regained", revision=self.revision)
+            telemetry.log(
+                _log,
+                "store_regained",
+                revision=storeera.describe(self.revision),
+            )
         self.store_reachable = True
         self.store_answered_at = asyncio.get_running_loop().time()
         self._on_contact(True)
--- a/tests/builders_mirrors.py
+++ b/tests/builders_mirrors.py
@@ -115,7 +115,10 @@
                 self.version_times.setdefault(int(change.value[:8]), now)
         if self._fleet.relay is self:
             complete = self.mirror.copy.knows_removals_since(before)
-            self._fleet.changes.send(1, changes, before, after, complete)
+            if not self._fleet.changes.send(
+                1, changes, before, after, complete
+            ):
+                self._fleet.send_relay_status()
 
     async def open(self) -> None:
         """Opens the instance's port and the port of its path to the store."""
@@ -281,19 +284,21 @@
 
     async def _send_relay_status(self) -> None:
         """Sends the relay's revision, as its periodic status does."""
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(STATUS_INTERVAL_S)
-            relay = self.relay
-            if relay is None or relay.frozen:
-                continue
-            relay.mirror.deputies.update(self.changes.own_deputies(), True)
-            age_s = loop.time() - relay.mirror.store_answered_at
-            for instance in self.instances:
-                if instance is not relay and not instance.frozen:
-                    instance.mirror.handle_relay_status(
-                        relay.mirror.revision, age_s
-                    )
+            if self.relay is not None and not self.relay.frozen:
+                self.relay.mirror.deputies.update(
+                    self.changes.own_deputies(), True
+                )
+                self.send_relay_status()
+
+    def send_relay_status(self) -> None:
+        """Sends the relay's revision to all instances that are not frozen."""
+        mirror = self.relay.mirror
+        age_s = asyncio.get_running_loop().time() - mirror.store_answered_at
+        for instance in self.instances:
+            if instance is not self.relay and not instance.frozen:
+                instance.mirror.handle_relay_status(mirror.revision, age_s)
 
     async def change(self, version: int, size: int) -> float:
         """Writes a configuration; returns when it was acknowledged."""
--- a/tests/test_storecopy.py
+++ b/tests/test_storecopy.py
@@ -2,7 +2,7 @@
 
 import random
 
-from carobsail import keyvalue, storecopy
+from carobsail import keyvalue, storecopy, storeera
 from carobsail.storecopy import StoreCopy
 
 
@@ -188,3 +188,38 @@
         if value.mod_revision <= complete:
             assert key in state, (seed, key)
             assert state[key].mod_revision == value.mod_revision, (seed, key)
+
+
+def copy_after_a_loss():
+    """Returns a copy that was at 1:140 and has read the store at 2:100."""
+    copy = StoreCopy()
+    value = keyvalue.KeyValue("servers/a", b"v", storeera.combine(1, 90))
+    for era, revision in ((1, 140), (2, 100)):
+        number = storeera.combine(era, revision)
+        copy.apply_listing(keyvalue.RangeResult(number, (value,)))
+        value = keyvalue.KeyValue("servers/a", b"v", storeera.combine(2, 90))
+    return copy
+
+
+def test_late_change_does_not_restore_a_lost_key():
+    """A change that the store has lost arrives after the read of its era."""
+    copy = copy_after_a_loss()
+    lost = storeera.combine(1, 130)
+    assert copy.apply([put("servers/lost", lost)], lost) == []
+    values = (keyvalue.KeyValue("servers/lost", b"v", lost),)
+    assert copy.merge(storecopy.CopyChanges(lost, 0.0, False, values)) == []
+    assert [v.key for v in copy.values()] == ["servers/a"]
+    assert copy.revision == storeera.combine(2, 100)
+
+
+def test_change_of_the_next_era_waits_for_its_whole_read():
+    """A copy that lacks removals claimed to be complete in the next era."""
+    copy = copy_after_a_loss()
+    number = storeera.combine(3, 80)
+    before = copy.revision
+    assert copy.apply([put("op/config", number)], 0) == []
+    values = (keyvalue.KeyValue("op/config", b"v", number),)
+    assert copy.merge(storecopy.CopyChanges(number, 0.0, False, values)) == []
+    assert copy.revision == before
+    full = storecopy.CopyChanges(number, 0.0, True, values)
+    assert {e.key for e in copy.merge(full)} == {"op/config", "servers/a"}
--- a/tests/test_storemirror.py
+++ b/tests/test_storemirror.py
@@ -7,7 +7,7 @@
 import pytest
 from builders_mirrors import RecordingKnownPeers, deliver
 
-from carobsail import changerelay, errors, keyvalue, storecopy
+from carobsail import changerelay, errors, keyvalue, storecopy, storeera
 from carobsail.storemirror import (
     BATCH_PAUSE_S,
     RELAY_BATCH_PAUSE_S,
@@ -21,9 +21,16 @@
 class Store(keyvalue.MemoryKeyValue):
     """A store that can compact its history."""
 
-    def __init__(self):
+    def __init__(self, era=0):
         super().__init__()
         self.compact = False
+        self.stated_era = era
+        self._revision = storeera.combine(era, self._revision)
+
+    @property
+    def era(self):
+        """See base class."""
+        return self.stated_era
 
     async def watch(self, prefix, start_revision):
         async for events in super().watch(prefix, start_revision):
@@ -446,3 +453,41 @@
     ahead.mirror._take_changes(found, "10.0.0.2:1")
     assert ahead.mirror.revision == 9
     assert ("servers/b", None) in ahead.seen
+
+
+async def send_status(mirror, revision):
+    """Sends the status of a relay that has just heard from its store."""
+    while True:
+        mirror.handle_relay_status(revision, 0.0)
+        await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("stated", [2, 3])
+async def test_relay_that_missed_a_loss_is_not_relied_on(stated):
+    """Instances saw no change while the relay followed an earlier era."""
+    store = Store(era=2)
+    await put(store, "a")
+    recorded = RecordedMirror(store)
+    await asyncio.sleep(1.0)
+    store.stated_era = stated
+    mirror = recorded.mirror
+    revision = min(mirror.revision, storeera.combine(stated - 1, 900))
+    status = asyncio.create_task(send_status(mirror, revision))
+    await asyncio.sleep(5.0)
+    await put(store, "b")
+    await asyncio.sleep(1.5)
+    assert ("b", b"v") in recorded.seen
+    recorded.task.cancel()
+    status.cancel()
+
+
+async def test_changes_across_a_loss_are_a_gap():
+    """An instance applied changes of an era that it had not read as a whole."""
+    mirror = RecordedMirror(Store()).mirror
+    await asyncio.sleep(0.5)
+    before = mirror.revision
+    after = storeera.combine(1, 7)
+    event = keyvalue.WatchEvent("a", b"v", after)
+    mirror.handle_relay_changes([RelayedChange(event)], before, after, "")
+    assert mirror.revision == before
+    assert mirror.copy.value("a") is None
