--- a/carobsail/keyvalue.py
+++ b/carobsail/keyvalue.py
@@ -110,6 +110,11 @@
         """
         return 0
 
+    @property
+    def ignored_eras(self) -> int:
+        """Number of responses that stated their era in an unusable way."""
+        return 0
+
     @abc.abstractmethod
     async def range(self, prefix: str) -> RangeResult | errors.Failure:
         """Reads all values whose key starts with `prefix`, sorted by key."""
--- a/carobsail/platform/store.py
+++ b/carobsail/platform/store.py
@@ -133,6 +133,11 @@
         """See base class."""
         return self._era.current
 
+    @property
+    def ignored_eras(self) -> int:
+        """See base class."""
+        return self._era.ignored
+
     def close(self) -> None:
         """Closes idle connections."""
         self._pool.close()
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -107,6 +107,7 @@
         """
         self.failed = asyncio.Event()
         self._settings = loaded
+        self._store = store
         self._document_decoder = document_decoder
         self._metrics = telemetry.Metrics()
         self._registry = targetregistry.TargetRegistry()
@@ -269,6 +270,8 @@
             ("callers_silent_closed", self._callers.silent_closed),
             ("held_bytes", self._buffers.total_bytes),
             ("held_bytes_given_up", self._buffers.given_up),
+            ("store_era", self._store.era),
+            ("store_era_ignored", self._store.ignored_eras),
         ):
             self._metrics.gauge(name, value)
         return self._metrics.to_text()
