--- a/tests/builders_faults.py
+++ b/tests/builders_faults.py
@@ -86,8 +86,13 @@
     The store serves all other instances and drops its history now and then.
     Meanwhile new versions of the configuration are written, and targets are
     marked as leaving or removed.
+
+    Attributes:
+      kinds: Kinds of faults.
     """
 
+    kinds = ("one", "relay", "firsts", "many", "history")
+
     def __init__(
         self, seed: int, fleet: Fleet, recovery_s: float, bound_s: float
     ) -> None:
@@ -118,6 +123,20 @@
             await fleet.write(key, b"in_service")
         await fleet.start()
         await asyncio.sleep(WARM_UP_S)
+        await self._play_faults()
+        await fleet.stop()
+        return [
+            f"{change.key} of {change.at:.2f} s at {instance.name}: "
+            f"{change.delay_s(instance):.2f} s"
+            for change in self._changes
+            for instance in fleet.instances
+            if self._is_bound(instance, change)
+            and change.delay_s(instance) > self._bound_s
+        ]
+
+    async def _play_faults(self) -> None:
+        """Injects faults and makes changes, and waits until all bounds end."""
+        fleet = self._fleet
         fleet.delivery.is_lost = lambda: self._rng.random() < LOSS_PROBABILITY
         fleet.delivery.delay_s = lambda: self._rng.uniform(*DATAGRAM_DELAY_S)
         tasks = [
@@ -130,15 +149,6 @@
         await asyncio.sleep(SETTLE_S)
         for fault in self._fault_tasks:
             fault.cancel()
-        await fleet.stop()
-        return [
-            f"{change.key} of {change.at:.2f} s at {instance.name}: "
-            f"{change.delay_s(instance):.2f} s"
-            for change in self._changes
-            for instance in fleet.instances
-            if self._is_bound(instance, change)
-            and change.delay_s(instance) > self._bound_s
-        ]
 
     def _is_bound(self, instance: Instance, change: Change) -> bool:
         """Whether the instance was undisturbed, so that the bound applies."""
@@ -153,10 +163,13 @@
         instances, rng = self._fleet.instances, self._rng
         while True:
             await asyncio.sleep(rng.expovariate(1.0 / FAULT_INTERVAL_S))
-            kind = rng.choice(("one", "relay", "firsts", "many", "history"))
+            kind = rng.choice(self.kinds)
             if kind == "history":
                 await self._fleet.store.forget_history()
                 continue
+            if kind == "loss":
+                self._fault_tasks.add(asyncio.create_task(self._lose()))
+                continue
             affected = [rng.choice(instances)]
             if kind == "relay":
                 affected = [self._fleet.relay]
@@ -214,6 +227,12 @@
                 value = configuration(version, rng.choice(CONFIGURATION_BYTES))
             elif kind == "gone":
                 value = None
-            await self._fleet.write(key, value)
-            now = asyncio.get_running_loop().time()
-            self._changes.append(Change(key, value, now))
+            await self._change(key, value)
+
+    async def _change(self, key: str, value: bytes | None) -> None:
+        await self._fleet.write(key, value)
+        now = asyncio.get_running_loop().time()
+        self._changes.append(Change(key, value, now))
+
+    async def _lose(self) -> None:
+        """Lets the store come back from an older copy, in subclasses."""
--- a/tests/builders_restore.py
+++ b/tests/builders_restore.py
@@ -4,7 +4,14 @@
 import dataclasses
 import random
 
-from builders_faults import Change, Disturbance
+from builders_faults import (
+    TARGETS as RANDOM_TARGETS,
+)
+from builders_faults import (
+    Change,
+    Disturbance,
+    DisturbedFleet,
+)
 from builders_mirrors import (
     CONFIGURATION,
     Fleet,
@@ -13,11 +20,17 @@
     describe,
 )
 
-from soak import backups
+from soak import backups, polling
 
 # Bounds of the smallest deployments: `contactMs`, `configApplyMs`, `drainMs`.
 CONTACT_S = 4.0
 BOUND_S = 2.5
+# Ranges of a random loss in seconds.
+LOST_S = (2.0, 10.0)
+AWAY_S = (0.3, 4.0)
+# Longest time from the store's return until the operator writes its version
+# again.
+OPERATOR_AGAIN_S = 0.5
 # Longest time from the store's return until targets write their entries again.
 ENTRIES_AGAIN_S = 1.9
 WARM_UP_S = 12.0
@@ -53,7 +66,15 @@
       returned_at: When the store came back last.
     """
 
-    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        rng: random.Random,
+        contact_s: float = CONTACT_S,
+        bound_s: float = BOUND_S,
+    ) -> None:
+        self._contact_s = contact_s
+        self._bound_s = bound_s
         self.fleet = fleet
         self.changes: list[Change] = []
         self.disturbances: list[Disturbance] = []
@@ -65,11 +86,11 @@
         self._written: dict[str, bytes | None] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> None:
-        """Starts the instances; the store has copies of some seconds."""
+    async def start(self, targets: int = TARGETS) -> None:
+        """Starts the instances; returns when the store may lose 10 s."""
         self.fleet.store.era = 1
         await self.write_version()
-        for number in range(TARGETS):
+        for number in range(targets):
             await self.write(target(number), b"in_service")
         await self.fleet.start()
         self._start(self._backups.run())
@@ -133,7 +154,7 @@
     async def end(self) -> list[str]:
         """Ends the run; returns what instances knew too late or not at all."""
         self.fleet.renews_targets = False
-        await asyncio.sleep(CONTACT_S + BOUND_S)
+        await asyncio.sleep(self._contact_s + self._bound_s)
         different = await self.fleet.different_copies()
         for task in self._tasks:
             task.cancel()
@@ -154,11 +175,11 @@
         That is within the bound, but while it is disturbed, and shortly after,
         it need not know anything new.
         """
-        due_at = change.at + BOUND_S
+        due_at = change.at + self._bound_s
         for disturbance in sorted(self.disturbances, key=lambda d: d.start):
             applies = disturbance.instance in ("", instance.name)
             if applies and disturbance.start < due_at:
-                due_at = max(due_at, disturbance.end + CONTACT_S)
+                due_at = max(due_at, disturbance.end + self._contact_s)
         later = self.changes[self.changes.index(change) + 1 :]
         replaced = any(
             c.key == change.key and c.value != change.value and c.at <= due_at
@@ -167,6 +188,42 @@
         return replaced or change.is_known_at(instance, due_at)
 
 
+class LosingFleet(DisturbedFleet):
+    """Instances that are disturbed while the store goes back now and then."""
+
+    kinds = (*DisturbedFleet.kinds, "loss")
+
+    def __init__(
+        self, seed: int, fleet: Fleet, recovery_s: float, bound_s: float
+    ) -> None:
+        """See base class."""
+        super().__init__(seed, fleet, recovery_s, bound_s)
+        self._restored = RestoredFleet(fleet, self._rng, recovery_s, bound_s)
+        self._disturbances = self._restored.disturbances
+
+    async def run(self) -> list[str]:
+        """See base class; copies must equal the store's data at the end."""
+        await self._restored.start(RANDOM_TARGETS)
+        await self._play_faults()
+        return await self._restored.end()
+
+    async def _change(self, key: str, value: bytes | None) -> None:
+        store = self._fleet.store
+        await polling.until(lambda: not store.down)
+        await self._restored.write(key, value)
+
+    async def _lose(self) -> None:
+        rng = self._rng
+        loss = Loss(
+            rng.uniform(*LOST_S),
+            rng.uniform(*AWAY_S),
+            rng.random() < 0.5,
+            rng.uniform(0.0, OPERATOR_AGAIN_S),
+        )
+        if not self._fleet.store.down:
+            await self._restored.lose(loss)
+
+
 def target(number: int) -> str:
     """Returns the key of a target's entry."""
     return f"servers/x{number}"
