Let the store of the soak come back from an older copy

The soak's store could be down, slow or without its history, but never lost what it had acknowledged. It now states its era, keeps copies of the last 10 s, and goes back to one after 0.3 to 4 s of silence or 503s, with leases paused or not. The operator writes its newest version again, targets renew their entries, and entries of targets that are gone expire. The store counts as disturbed until it is back; all checks hold as before, so from the contact bound on. The new step has a draw of its own, so that seeds keep their other steps.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,7 +23,7 @@
 
 async def play(
     seed: int,
-    seconds: float,
+    steps: list[schedule.Step],
     instances: int,
     directory: pathlib.Path,
     per_s: float = REQUESTS_PER_S,
@@ -31,8 +31,8 @@
     """Runs one seed and returns its record and the violations.
 
     Args:
-      seed: The seed.
-      seconds: Time span in which faults begin.
+      seed: The seed of everything but the steps.
+      steps: Faults and planned work.
       instances: Number of instances.
       directory: Receives settings files and logs.
       per_s: Requests per second.
@@ -44,7 +44,7 @@
             await polling.until(lambda: len(world.callers.ready) == instances)
         end = asyncio.Event()
         traffic = asyncio.create_task(world.callers.run(per_s, end))
-        healed_at = await world.play(schedule.draw(seed, seconds))
+        healed_at = await world.play(steps)
         await asyncio.sleep(QUIET_END_S)
         end.set()
         await traffic
@@ -76,6 +76,7 @@
     minutes: float = 0.5,
     instances: int = 7,
     per_s: float = REQUESTS_PER_S,
+    losses: bool = True,
 ) -> None:
     """Runs seeds one after the other; exits with 1 if there is a violation.
 
@@ -84,7 +85,9 @@
       minutes: Time span of each seed in which faults begin.
       instances: Number of instances.
       per_s: Requests per second.
+      losses: Whether the store goes back to older copies.
     """
+    draw = schedule.draw_with_losses if losses else schedule.draw
     if isinstance(seeds, int):
         numbers = [seeds]
     elif isinstance(seeds, tuple):
@@ -95,7 +98,7 @@
     kinds: collections.Counter[str] = collections.Counter()
     broken = []
     for seed in numbers:
-        steps = schedule.draw(seed, 60.0 * minutes)
+        steps = draw(seed, 60.0 * minutes)
         kinds.update(step.kind for step in steps)
         sys.stdout.write(f"seed {seed}: {len(steps)} steps\n")
         for step in steps:
@@ -103,7 +106,7 @@
         directory = pathlib.Path(tempfile.mkdtemp(prefix="carobsail-soak-"))
         started_at = time.monotonic()
         record, violations = asyncio.run(
-            play(seed, 60.0 * minutes, instances, directory, per_s)
+            play(seed, steps, instances, directory, per_s)
         )
         elapsed_s = time.monotonic() - started_at
         sys.stdout.write(f"  {describe(record)}, {elapsed_s:.0f} s\n")
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -38,6 +38,12 @@
     "odd_entries": (0.4, 2.0, 10.0),
     "hostile_callers": (0.4, 2.0, 6.0),
 }
+# The store that goes back is drawn by itself, so that earlier seeds keep their
+# steps: shortest and longest time for which it is away, and the first time at
+# which it has copies of some seconds.
+RESTORED_KIND = "store_restored"
+AWAY_S = (0.3, 4.0)
+FIRST_RESTORED_S = 6.0
 PLANNED = (
     "stop_instance",
     "reload_instance",
@@ -53,7 +59,7 @@
 
     Attributes:
       at_s: Seconds from the start of the traffic.
-      kind: What happens, a key of `KINDS`.
+      kind: What happens, such as a key of `KINDS`.
       pick: Selects the instance or target: a number in [0, 1).
       how: Selects the variant: a number in [0, 1).
       duration_s: How long it lasts.
@@ -72,6 +78,27 @@
         )
 
 
+def draw_with_losses(seed: int, seconds: float) -> list[Step]:
+    """Returns the steps of a seed, and one or two in which the store goes back.
+
+    Seeds with planned work only stay without.
+
+    Args:
+      seed: The seed.
+      seconds: Time span in which steps begin.
+    """
+    steps = draw(seed, seconds)
+    if seed % 3 == 0:
+        return steps
+    rng = random.Random(f"losses {seed}")
+    latest_s = max(FIRST_RESTORED_S, seconds)
+    for _ in range(rng.choice((1, 2))):
+        at_s = rng.uniform(FIRST_RESTORED_S, latest_s)
+        draws = rng.random(), rng.random(), rng.uniform(*AWAY_S)
+        steps.append(Step(at_s, RESTORED_KIND, *draws))
+    return sorted(steps, key=lambda step: step.at_s)
+
+
 def draw(seed: int, seconds: float) -> list[Step]:
     """Returns the steps of a seed; a third of the seeds have planned work only.
 
--- a/soak/storestandin.py
+++ b/soak/storestandin.py
@@ -61,6 +61,11 @@
         """Removes the entry of a target."""
         await self.data.transact([], [keyvalue.Delete(f"servers/{identity}")])
 
+    async def entries(self) -> set[str]:
+        """Returns the identities of the targets that have an entry."""
+        listing = _expect_success(await self.data.range("servers/"))
+        return {v.key.removeprefix("servers/") for v in listing.values}
+
     async def forget_history(self) -> None:
         """Compacts the history up to the current revision."""
         self.compacted = _expect_success(await self.data.range("")).revision
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -86,6 +86,12 @@
         """Whether it is running."""
         return self._server is not None
 
+    @property
+    def writes_entry(self) -> bool:
+        """Whether it renews its entry in the store."""
+        task = self._heartbeat_task
+        return self.alive and task is not None and not task.done()
+
     async def start(self, same_identity: bool = False) -> None:
         """Starts without any state of an earlier start.
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,7 +11,14 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from carobsail import httpserver, keyvalue, localdeployment
-from soak import checks, configurations, crowds, polling, storestandin
+from soak import (
+    backups,
+    checks,
+    configurations,
+    crowds,
+    polling,
+    storestandin,
+)
 from soak.callers import Callers
 from soak.configurations import MODEL_COUNT
 from soak.proxy import Link
@@ -26,7 +33,7 @@
     changed_routes,
 )
 from soak.schedule import Step
-from soak.targets import Engine, Target
+from soak.targets import ENTRY_EXPIRY_S, Engine, Target
 
 REGION_OF_DATA_CENTRE = {"dc-a": "north", "dc-b": "north", "dc-c": "south"}
 STORE_REGION = "north"
@@ -53,8 +60,11 @@
 # Times after an acknowledgement at which callers request changed routes; the
 # last one is just after the apply bound.
 PROBE_DELAYS_S = (0.7, checks.APPLY_BOUND_S + 0.02)
-# Time after which the operator repeats an unacknowledged write.
+# Time after which the operator repeats a write that was not acknowledged, or
+# that the store has lost.
 OPERATOR_RETRY_S = 0.5
+# Shortest and longest time of which the store loses the changes.
+LOST_S = (2.0, backups.MAX_LOST_S)
 
 _Act = Callable[["World", Step], Awaitable[None]]
 _ACTS: dict[str, _Act] = {}
@@ -126,6 +136,7 @@
     Attributes:
       record: The observations.
       callers: The callers.
+      backups: Copies of the store to which it can go back.
     """
 
     def __init__(self, seed: int, count: int, directory: pathlib.Path) -> None:
@@ -141,6 +152,8 @@
         self.callers = Callers(self.record, random.Random(rng.random()))
         self._rng = rng
         self._store = storestandin.StoreStandin(page_items=500)
+        self._store.era = 1
+        self.backups = backups.Backups(self._store)
         self._store_servers: list[httpserver.Server] = []
         self._series = configurations.Series(seed)
         # The operator writes one version at a time.
@@ -181,6 +194,7 @@
 
     async def start(self) -> None:
         """Starts everything; does not wait until the instances serve."""
+        self._spawn(self.backups.run())
         await self.configure()
         for target in self.targets:
             await target.start()
@@ -336,6 +350,29 @@
         changed = changed_routes(before, version.routes)
         self._spawn(self._probe(version.acked_at, changed))
 
+    async def configure_again(self) -> None:
+        """Writes the newest version again after the store has gone back."""
+        async with self._writing:
+            await polling.until(lambda: not self._store.down)
+            await self._store.data.transact(
+                [], [keyvalue.Put("op/config", self._series.document())]
+            )
+
+    async def remove_stale_entries(self) -> None:
+        """Removes entries of targets that do not write them, when they expire.
+
+        A store that has gone back has entries again that were removed.
+        """
+        stale = await self._unwritten_entries()
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        await polling.until(lambda: not self._store.down)
+        for identity in stale & await self._unwritten_entries():
+            await self._store.delete_entry(identity)
+
+    async def _unwritten_entries(self) -> set[str]:
+        entries = await self._store.entries()
+        return entries - {t.identity for t in self.targets if t.writes_entry}
+
     async def _probe(
         self, acked_at: float, changed: list[tuple[str, str]]
     ) -> None:
@@ -523,6 +560,22 @@
     span.end = span.start + 1.0
 
 
+@act
+async def store_restored(world: World, step: Step) -> None:
+    """Lets the store be away and come back from a copy some seconds old."""
+    rng = random.Random(f"restored {step.how}")
+    with world.disturbed("store"):
+        await world.backups.lose(
+            lost_s=rng.uniform(*LOST_S),
+            away_s=step.duration_s,
+            silent=rng.random() < 0.5,
+            leases_paused=rng.random() < 0.5,
+        )
+    await asyncio.sleep(rng.uniform(0.0, OPERATOR_RETRY_S))
+    await world.configure_again()
+    await world.remove_stale_entries()
+
+
 @act
 async def cut_target_way(world: World, step: Step) -> None:
     """Cuts the link to a target, in one direction or both."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,8 @@
 # The second seed has planned work only, the third one deadly requests and a
 # crowd of hostile callers only.
 CI_SEEDS = (14, 39, 2)
+# The store goes back.
+LOSS_SEED = 5
 CI_SECONDS = 10.0
 CI_INSTANCES = 3
 CI_PER_S = 15.0
@@ -378,6 +380,15 @@
     assert drawn == set(schedule.KINDS) | set(schedule.LATER_KINDS)
 
 
+def test_losses_leave_the_other_steps_as_they_are():
+    """Seeds that have found a fault must still play it."""
+    for seed in range(20):
+        steps = schedule.draw_with_losses(seed, 60.0)
+        others = [s for s in steps if s.kind != schedule.RESTORED_KIND]
+        assert others == schedule.draw(seed, 60.0)
+        assert (len(steps) > len(others)) == (seed % 3 != 0)
+
+
 async def test_short_soak_keeps_the_promises(tmp_path: pathlib.Path):
     """Runs real programs under faults; see docs/OPERATIONS.md on failures."""
     directories = [tmp_path / str(seed) for seed in CI_SEEDS]
@@ -385,14 +396,31 @@
         directory.mkdir()
     results = await asyncio.gather(
         *(
-            play(seed, CI_SECONDS, CI_INSTANCES, directory, CI_PER_S)
+            play(
+                seed,
+                schedule.draw(seed, CI_SECONDS),
+                CI_INSTANCES,
+                directory,
+                CI_PER_S,
+            )
             for seed, directory in zip(CI_SEEDS, directories, strict=True)
         )
     )
     for seen, violations in results:
-        assert violations == []
-        served = [a for a in seen.requests.values() if a.status == 200]
-        assert len(served) > len(seen.requests) / 2 > 50
+        assert_kept(seen, violations)
+
+
+async def test_short_soak_with_a_store_that_goes_back(tmp_path: pathlib.Path):
+    """What the store has lost must not break a promise afterwards."""
+    steps = schedule.draw_with_losses(LOSS_SEED, CI_SECONDS)
+    assert schedule.RESTORED_KIND in {step.kind for step in steps}
+    assert_kept(*await play(LOSS_SEED, steps, CI_INSTANCES, tmp_path, CI_PER_S))
+
+
+def assert_kept(seen, violations):
+    assert violations == []
+    served = [a for a in seen.requests.values() if a.status == 200]
+    assert len(served) > len(seen.requests) / 2 > 50
 
 
 @pytest.mark.memory_network
