--- a/tests/test_servinginstance.py
+++ b/tests/test_servinginstance.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import json
+import logging
 import random
 
 import pytest
+from builders_departures import Follower
 from builders_engines import CrashingEngine, start_plain_engines
 
-from carobsail import servinginstance
+from carobsail import servinginstance, storeera
 from carobsail.instancesettings import InstanceSettings
-from carobsail.keyvalue import Put
+from carobsail.keyvalue import Put, WatchEvent
 from carobsail.platform import documents, engines, headers
 from carobsail.platform.store import PlatformStore
 from soak.storestandin import StoreStandin, serve
@@ -259,3 +261,25 @@
     assert len(answers) >= 10
     assert all(b"connection: close" in head.lower() for head in answers)
     await store.close()
+
+
+async def test_version_of_an_older_copy_of_the_store_is_ignored(caplog):
+    """Instances went back to the version before a confirmed one.
+
+    The operator writes its version again; until then this is no fault.
+    """
+    follower = Follower()
+
+    def write(version, era, revision):
+        value = json.dumps(configuration() | {"version": version}).encode()
+        revision = storeera.combine(era, revision)
+        follower.take(WatchEvent("op/config", value, revision))
+        return follower.instance._request_handler.route_table.version
+
+    with caplog.at_level(logging.INFO, "carobsail"):
+        assert write(4, 1, 20) == 4
+        assert write(3, 2, 15) == 4
+        assert write(4, 2, 16) == 4
+        assert write(5, 2, 17) == 5
+    ignored = [r for r in caplog.records if "ignored" in str(r.msg)]
+    assert [r.levelno for r in ignored] == [logging.INFO]
