Keep departures of targets over a break of the store

Cause: the registry took what the older copy brought for news, and what it lacked for targets that had left. Change: DepartedTargets remembers departures by identity and start time. After a break a target that was draining stays leaving in that incarnation; one whose removal was known, or that was draining and states no start time, is withheld until it is written anew in the new era, at most 6.1 s (three heartbeat intervals and the time in which a lapse is known), since heartbeats may not be relayed. A process that ended before does not replace the present one, and lost entries are kept for the grace of an outage. Each decision is logged (target_withheld, target_released, target_kept). An ignored older version of the configuration is logged as information: it stays ignored as before. TargetEntry and EntryChange move to targetentry.py. With one era throughout, nothing changes.

--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -311,6 +311,9 @@
         to_relay: storemirror.Changes = []
         now = asyncio.get_running_loop().time()
         changed = False
+        newest = max((event.mod_revision for event in changes), default=0)
+        if self._registry.learn_era(newest, after, now):
+            self._start_task(self._release_withheld())
         # Configurations come first: they define the services of the targets.
         for event in changes:
             table = self._document_decoder.configuration(event)
@@ -325,7 +328,7 @@
                 to_relay.append(event)
                 continue
             if isinstance(entry, str):
-                change = self._registry.remove(entry, now)
+                change = self._registry.remove(entry, now, event.mod_revision)
             else:
                 change = self._registry.put(entry, now)
             if change is targetregistry.EntryChange.REGISTRATION:
@@ -350,13 +353,22 @@
         if changed:
             self._request_handler.wake_waiting()
 
+    async def _release_withheld(self) -> None:
+        """Releases withheld targets once only live ones are still listed."""
+        loop = asyncio.get_running_loop()
+        until = self._registry.withheld_until
+        while until > loop.time():
+            await asyncio.sleep(until - loop.time())
+            until = self._registry.withheld_until  # An outage defers it.
+        self._registry.release_withheld(until)
+        self._request_handler.wake_waiting()
+
     def _activate_configuration(self, table: routetable.RouteTable) -> bool:
         """Activates a newer configuration; returns whether it did."""
         if not table.replaces(self._request_handler.route_table):
             telemetry.log(
                 _log,
                 "configuration_ignored",
-                level=logging.WARNING,
                 version=table.version,
                 revision=table.revision,
             )
--- a/carobsail/targetregistry.py
+++ b/carobsail/targetregistry.py
@@ -7,14 +7,20 @@
 A target also states in its responses that it is leaving. The store may report
 this seconds later, and not at all while it is away, so the statement holds
 whatever the entries say, for as long as the process of that target runs.
+
+If the store has come back from an older copy, entries that were lost with its
+newer one are kept for the same time. What the older copy brings back is judged
+by `departedtargets`; an entry that is withheld counts as leaving.
 """
 
 import collections
 import dataclasses
-import enum
 from collections.abc import Iterable, Sequence
 
-from carobsail import summaries, targetpace
+from carobsail import departedtargets, summaries, targetentry, targetpace
+from carobsail.targetentry import EntryChange as EntryChange
+from carobsail.targetentry import ResidentModel as ResidentModel
+from carobsail.targetentry import TargetEntry as TargetEntry
 
 # Targets whose entries expired during an outage of the store register again
 # within about two seconds of its end, according to the users. On the smallest
@@ -47,46 +53,6 @@
 MAX_LEAVING = 4096
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ResidentModel:
-    """A model that an engine holds, with its adapters."""
-
-    name: str
-    version: int
-    adapters: frozenset[str] = frozenset()
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class TargetEntry:
-    """A target as registered in the store.
-
-    Attributes:
-      identity: Identity of the target; normally differs after a restart.
-      service: Service that it belongs to.
-      address: `host:port`.
-      data_centre: Data centre that it runs in.
-      slots: Requests that it runs concurrently.
-      leaving: Whether it accepts no new requests.
-      start_time_ms: Start time in Unix milliseconds; 0 if not stated.
-      models: Models that it holds, if it is an engine.
-      in_memory: Models of which it keeps a copy in host memory.
-      on_disk: Models of which it keeps a copy on disk.
-      revision: Revision of the entry in the store.
-    """
-
-    identity: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
-    leaving: bool
-    start_time_ms: int
-    models: tuple[ResidentModel, ...]
-    in_memory: frozenset[str]
-    on_disk: frozenset[str]
-    revision: int
-
-
 @dataclasses.dataclass(slots=True)
 class Target:
     """A registered target with this instance's own observations of it.
@@ -266,36 +232,11 @@
         return pause_s
 
 
-class EntryChange(enum.IntEnum):
-    """Significance of a change of an entry."""
-
-    NONE = 0
-    # Models or adapters changed; the coordinator reports this to all instances
-    # earlier than the entry does.
-    HOLDINGS = 1
-    # A target was added, removed or changed in another way.
-    REGISTRATION = 2
-
-
-def _classify_change(known: Target, entry: TargetEntry) -> EntryChange:
-    """Returns how a newer entry of a known target differs, models aside."""
-    before = known.entry
-    same = dataclasses.replace(
-        entry,
-        revision=before.revision,
-        models=before.models,
-        in_memory=before.in_memory,
-        on_disk=before.on_disk,
-    )
-    if known.expired_at is not None or same != before:
-        return EntryChange.REGISTRATION
-    return EntryChange.NONE
-
-
 class TargetRegistry:
     """Registry of all targets known to one instance."""
 
     __slots__ = (
+        "_departed",
         "_lapsed_services",
         "_left_at",
         "_outage_until",
@@ -305,6 +246,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
+        self._departed = departedtargets.DepartedTargets()
         # Identity and start time of targets, those that said it first in front.
         self._said_leaving: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
@@ -329,6 +271,7 @@
     def of_service(self, service: str, now: float) -> list[Target]:
         """Returns the targets of a service that accept new requests."""
         self._drop_expired(now)
+        self.release_withheld(now)
         return [
             target
             for target in self._targets.values()
@@ -405,6 +348,31 @@
         if not reachable:
             self._outage_until = now + EXPIRY_GRACE_S
 
+    def learn_era(self, newest: int, listed: int, now: float) -> bool:
+        """Takes note of the era of changes; see `DepartedTargets.learn_era`.
+
+        Entries that were lost with it are kept for a grace period.
+        """
+        if not self._departed.learn_era(newest, listed, now):
+            return False
+        self._drop_expired(now)
+        self.record_store_contact(False, now)
+        return True
+
+    @property
+    def withheld_until(self) -> float:
+        """When withheld targets are released, unless an outage goes on."""
+        return max(self._departed.withheld_until, self._outage_until)
+
+    def release_withheld(self, now: float) -> None:
+        """Lets targets be used that were withheld long enough."""
+        if now < self._outage_until:
+            return
+        for entry in self._departed.release(now):
+            self._targets[entry.identity].entry = entry
+            self._left_at.pop(entry.service, None)
+            self._lapsed_services.discard(entry.service)
+
     def record_leaving(self, entry: TargetEntry) -> bool:
         """Records that a target stated in a response that it is leaving.
 
@@ -432,21 +400,29 @@
           What changed; most updates of an entry are heartbeats only.
         """
         known = self._targets.get(entry.identity)
-        if known is None or (
-            entry.revision >= known.entry.revision
-            and entry.start_time_ms != known.entry.start_time_ms
-        ):
-            # New, or restarted under the same identity: the old state is void.
+        if known is not None:
+            if entry.revision < known.entry.revision:
+                return EntryChange.NONE
+            if self._departed.names_earlier_process(entry, known.entry):
+                return self.remove(entry.identity, now, entry.revision)
+            if known.expired_at is not None:
+                self._departed.forget(known.entry)
+            if entry.start_time_ms != known.entry.start_time_ms:
+                # Restarted under the same identity: the old state is void.
+                self._departed.record_removal(known.entry, entry.revision)
+                known = None
+        entry = self._departed.judge(entry, now)
+        if known is None:
             known = self._targets[entry.identity] = Target(entry)
             known.said_leaving = (
                 entry.identity,
                 entry.start_time_ms,
             ) in self._said_leaving
             change = EntryChange.REGISTRATION
-        elif entry.revision < known.entry.revision:
-            return EntryChange.NONE
+        elif known.expired_at is not None:
+            change = EntryChange.REGISTRATION
         else:
-            change = _classify_change(known, entry)
+            change = targetentry.classify_change(known.entry, entry)
         accepted = not known.leaving
         known.entry = entry
         known.expired_at = None
@@ -478,9 +454,16 @@
         target.held_reported_at = now
         return changed
 
-    def remove(self, identity: str, now: float) -> EntryChange:
+    def remove(
+        self, identity: str, now: float, revision: int = 0
+    ) -> EntryChange:
         """Removes an entry; during a store outage only after a grace period.
 
+        Args:
+          identity: Identity of the target.
+          now: Time of the event loop's clock in seconds.
+          revision: Revision of the removal; 0 for that of the entry.
+
         Returns:
           `REGISTRATION`, also for an unknown target, since another instance may
           know it.
@@ -488,13 +471,16 @@
         target = self._targets.get(identity)
         if target is None:
             return EntryChange.REGISTRATION
+        revision = revision or target.entry.revision
         if now < self._outage_until and not target.entry.leaving:
             if target.expired_at is None:
                 target.expired_at = now
+                self._departed.log_kept(target.entry, revision)
         else:
             del self._targets[identity]
             if not target.leaving:
                 self._record_departure(target.entry.service, now)
+        self._departed.record_removal(target.entry, revision)
         return EntryChange.REGISTRATION
 
     def _drop_expired(self, now: float) -> None:
--- a/tests/test_departedtargets.py
+++ b/tests/test_departedtargets.py
@@ -8,9 +8,11 @@
 
 import pytest
 from builders_departures import Follower, gone, listed
+from builders_serving import entry
 
+from carobsail.departedtargets import MAX_DEPARTURES, MAX_WITHHELD_S
 from carobsail.storeera import combine
-from carobsail.targetregistry import EXPIRY_GRACE_S
+from carobsail.targetregistry import EXPIRY_GRACE_S, TargetRegistry
 
 LISTING = combine(2, 15)
 T1 = ("t1", 1000)
@@ -161,8 +163,10 @@
     follower = Follower()
     follower.take(listed("left", 8), listed("lost", 19))
     follower.take(gone("left", 20))
-    follower.take_part(listed("left", 8, 2))
     follower.take_part(gone("lost", 15, 2))
+    # A change of the era before that arrives late.
+    follower.take_part(listed("draining", 21, state="draining"))
+    follower.take_part(listed("left", 8, 2))
     assert follower.offered() == [("lost", 1000)]
     follower.take(after=LISTING)
     assert follower.offered() == [("lost", 1000)]
@@ -175,13 +179,14 @@
 
     The instance learns of the new era from another one.
     """
-    follower = Follower()
-    follower.take(listed(revision=8))
-    follower.instance._record_store_contact(False)
-    follower.take(gone(revision=20))
-    await asyncio.sleep(EXPIRY_GRACE_S - 0.1)
-    follower.take(listed(revision=8, era=2), after=LISTING)
-    assert follower.offered() == [T1]
+    for passed_s, offered in ((EXPIRY_GRACE_S - 0.1, [T1]), (60.0, [])):
+        follower = Follower()
+        follower.take(listed(revision=8))
+        follower.instance._record_store_contact(False)
+        follower.take(gone(revision=20))
+        await asyncio.sleep(passed_s)
+        follower.take(listed(revision=8, era=2), after=LISTING)
+        assert follower.offered() == offered
 
 
 @pytest.mark.parametrize("era", [0, 1])
@@ -197,3 +202,58 @@
     assert follower.offered() == [T1]
     follower.take(gone(revision=6, era=era))
     assert follower.offered() == []
+
+
+def withholding():
+    """Returns an instance that withholds its only target."""
+    follower = Follower()
+    follower.take(listed(revision=8))
+    follower.take(gone(revision=20))
+    follower.take(listed(revision=8, era=2), after=LISTING)
+    return follower
+
+
+async def test_target_that_stays_listed_is_not_withheld_for_good():
+    """Followers of the relay, which had not known its removal, never used it.
+
+    Requests that wait for a target are woken.
+    """
+    follower = withholding()
+    await asyncio.sleep(MAX_WITHHELD_S - 0.1)
+    assert follower.offered() == []
+    woken = follower.instance._request_handler._changed
+    await asyncio.sleep(0.2)
+    assert woken.is_set()
+    assert follower.offered() == [T1]
+
+
+async def test_nothing_is_released_while_the_store_is_cut_off():
+    """An instance that hears nothing cannot know that an entry was renewed."""
+    follower = withholding()
+    for _ in range(20):
+        await asyncio.sleep(1.0)
+        follower.instance._record_store_contact(False)
+    assert follower.offered() == []
+    follower.take(gone(revision=16, era=2))
+    await asyncio.sleep(60.0)
+    assert follower.offered() == []
+    follower = withholding()
+    follower.instance._record_store_contact(False)
+    await asyncio.sleep(60.0)
+    assert follower.offered() == [T1]
+
+
+def test_departures_are_bounded():
+    """Targets come and go for months; the latest departures count."""
+    registry = TargetRegistry()
+    registry.learn_era(1, 1, 0.0)
+    for number in range(MAX_DEPARTURES + 10):
+        registry.put(entry(f"t{number}"), 0.0)
+        registry.remove(f"t{number}", 0.0, 2)
+    assert len(registry._departed._departures) == MAX_DEPARTURES
+    registry.learn_era(LISTING, LISTING, 1.0)
+    for number in (9, 10):
+        registry.put(entry(f"t{number}", revision=combine(2, 1)), 1.0)
+    assert [t.entry.identity for t in registry.of_service("plain", 1.0)] == [
+        "t9"
+    ]
