Show that a route stays refused after all machines restart

While requests with a part that crashes engines come, all processes are killed once and start again. The next four crashes make all instances refuse the parts that all prompts of the route share, and nothing clears them: 0 to 5 in 100 sound requests begin, where all did in calm.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -127,10 +128,15 @@
         return Message(method, target, headers, body)
 
     async def write(self, data: bytes) -> None:
-        """Writes bytes as they are."""
+        """Writes bytes as they are.
+
+        Raises:
+          ConnectionResetError: The other side has closed the connection.
+        """
+        if self.reader.at_eof() or self.writer.transport.is_closing():
+            raise ConnectionResetError
         self.writer.write(data)
-        with contextlib.suppress(OSError):
-            await self.writer.drain()
+        await self.writer.drain()
 
     async def answer(
         self, status: int, headers: dict[str, str], body: bytes
@@ -162,7 +168,7 @@
         """Creates a server that does not listen."""
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._peers: set[Peer] = set()
+        self._peers: dict[Peer, asyncio.Task[None]] = {}
         self.host, self.port = "127.0.0.1", 0
 
     async def open(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -176,22 +182,25 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         peer = Peer(reader, writer)
-        self._peers.add(peer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._peers[peer] = task
         try:
             while (message := await peer.read()) is not None:
                 await self._handler(peer, message)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
-            self._peers.discard(peer)
+            self._peers.pop(peer, None)
             writer.close()
 
     async def close(self) -> None:
         """Closes the port and resets all connections."""
         if self._server is not None:
             self._server.close()
-        for peer in list(self._peers):
+        for peer, task in list(self._peers.items()):
             peer.reset()
+            task.cancel()
         await asyncio.sleep(0)
 
 
@@ -966,6 +975,8 @@
         for engine in self.engines:
             await engine.close()
         await self.store.close()
+        if kept := os.environ.get("KEEP_LOGS"):
+            shutil.copytree(self.directory, kept, dirs_exist_ok=True)
         self._directory.cleanup()
 
 
