--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -802,6 +802,7 @@
     ) -> None:
         """Prepares the settings of a machine."""
         self.name = name
+        self.zone = zone
         self.ip = machine_address(number)
         self.front = (self.ip, ports[0])
         self.ready = (self.ip, ports[1])
@@ -966,6 +967,11 @@
     async def _all_ready(self) -> bool:
         return all([await i.is_ready() for i in self.instances])
 
+    def holder(self) -> Instance:
+        """Returns the machine that holds the order lease, by its key."""
+        value = json.loads(self.store.items["carobsail/order-giver"].value)
+        return next(i for i in self.instances if i.name == value["instance"])
+
     async def close(self) -> None:
         """Ends everything that was started."""
         for instance in self.instances:
