--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -1073,11 +1073,16 @@
 
     async def main() -> int:
         world = World(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
             async with asyncio.timeout(limit_s):
                 trouble = os.environ.get("TROUBLE", "1") != "0"
                 return await play(world, trouble)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.log.write("could_not_run", error=repr(error))
             sys.stderr.write(f"could not run: {error!r}\n")
             return 2
