--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -25,6 +25,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 1.2
+# Port of the deploy template for metrics.
+METRICS_PORT = 9102
 # Bounds of the small deployment, as its sheet gives them.
 BOUNDS = {
     "seedLagS": 3,
@@ -791,7 +793,7 @@
     def __init__(
         self,
         name: str,
-        number: int,
+        ip: str,
         zone: str,
         store_port: int,
         seeds: list[str],
@@ -803,7 +805,7 @@
         """Prepares the settings of a machine."""
         self.name = name
         self.zone = zone
-        self.ip = machine_address(number)
+        self.ip = ip
         self.front = (self.ip, ports[0])
         self.ready = (self.ip, ports[1])
         self.process: asyncio.subprocess.Process | None = None
@@ -890,9 +892,17 @@
             return False
 
 
-def machine_address(number: int) -> str:
-    """Returns the loopback address of a machine of this run."""
-    return f"127.0.{64 + os.getpid() % 128}.{number}"
+def machine_addresses(count: int) -> list[str]:
+    """Returns loopback addresses that no other run uses.
+
+    The port of metrics is fixed in the template, so it has to be free.
+    """
+    for attempt in range(128):
+        octet = 64 + (os.getpid() + 37 * attempt) % 128
+        found = [f"127.0.{octet}.{n + 1}" for n in range(count)]
+        if all(_is_free(address, METRICS_PORT) for address in found):
+            return found
+    raise OSError("no free loopback addresses")
 
 
 def free_ports(count: int, addresses: list[str]) -> list[int]:
@@ -939,7 +949,7 @@
         bounds: dict[str, object] | None = None,
     ) -> None:
         """Prepares instances in different zones."""
-        addresses = [machine_address(n + 1) for n in range(count)]
+        addresses = machine_addresses(count)
         ports = free_ports(4, addresses)
         seeds = [f"{a}:{ports[2]}" for a in addresses[:3]]
         for number, zone in zip(range(count), 9 * list(ZONES), strict=False):
@@ -947,7 +957,7 @@
             self.instances.append(
                 Instance(
                     name,
-                    number + 1,
+                    addresses[number],
                     zone,
                     await self.store.open(name),
                     seeds,
