Do not trust the order lease of an older copy of the store

Callers saw streams that ended early and requests that waited, as two instances loaded and unloaded models of the same engines. A restarted instance took the key of the order lease from the store's older copy for proof that nobody had given orders since, and gave its first order 1.1 s after the last one of the holder that the store had forgotten.

Cause: OrderLease resumes without a delay when the key names this machine as acting. That is true only while the store keeps what it acknowledged.

Change: a second key holds the era of the last order. The own key counts in that era only; any first holder of a later era waits for the life of a lease longer, and the lost holder claims the lease again while its own is valid. Grants, renewals (of other instances too) and writes that cross a loss do not count, and a stop removes the key on a condition instead of ending a lease by a number that may be another's. A store that states no era gets no second key and the same waits as before.

test_orders_property's Lease has the new attribute `term`.

--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -97,6 +97,7 @@
         # and model.
         self._declined_logged_at: dict[tuple[str, str], float] = {}
         self._next_plan_at = float("-inf")
+        self._term = 0
         self._term_fence = 0
         self._engine_pools: dict[str, routetable.EnginePool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -149,9 +150,9 @@
         if not self._lease.fence:
             self._end_term()
             return
-        if self._term_fence != self._lease.fence:
+        if self._term != self._lease.term:
             self._end_term()
-            self._term_fence = self._lease.fence
+            self._term = self._lease.term
             # The previous holder may have started loads in the window until
             # now.
             half_window_s = self._load_window_s / 2.0
@@ -159,6 +160,7 @@
             self._store_load_times = [
                 now - half_window_s
             ] * self._store_loads_per_window(0.5 * sum(rates))
+        self._term_fence = self._lease.fence
         self._engine_pools = {s.name: s.pool for s in services if s.pool}
         self.demand.update_rates(now)
         self._sync_records(table)
@@ -178,9 +180,9 @@
         self._next_plan_at = now + planning_s / PLANNING_CPU_SHARE
 
     def _end_term(self) -> None:
-        if self._term_fence:
+        if self._term:
             telemetry.log(_log, "order_term_ended", fence=self._term_fence)
-        self._term_fence = 0
+        self._term = 0
         self._records.clear()
         self._unserved_models.clear()
         self._declined_logged_at.clear()
@@ -250,7 +252,7 @@
 
     def _call_ended(self, record: EngineRecord) -> None:
         record.call_in_flight = False
-        if self._term_fence:
+        if self._term:
             self._send_next_adapter_order(record)
 
     async def _read_engine(self, record: EngineRecord) -> None:
--- a/carobsail/leasekeeper.py
+++ b/carobsail/leasekeeper.py
@@ -12,6 +12,7 @@
     keyvalue,
     members,
     orderlease,
+    storeera,
     summaries,
     telemetry,
 )
@@ -97,7 +98,9 @@
         while True:
             self._wake_up.clear()
             self._on_lease_held(bool(self.lease.fence))
-            if self.lease.fence:
+            if self.lease.fence and self._store.era > self.lease.era:
+                await self._reclaim()
+            elif self.lease.fence:
                 await self._renew()
             elif self.lease.may_acquire() and not self.stopping:
                 await self._acquire()
@@ -118,47 +121,153 @@
             if not self.lease.may_acquire():
                 return
         sent_at = self._boot_clock()
-        lease = await self._store.grant_lease(orderlease.LEASE_S)
-        if isinstance(lease, errors.Failure):
-            await asyncio.sleep(RETRY_S)
-            self._wake_up.set()
+        lease = await self._grant()
+        if lease is None or not self.lease.may_acquire():
             return
-        if not self.lease.may_acquire():
-            return
-        already_acting = (
-            self.lease.holder is not None and self.lease.holder.acting
-        )
-        result = await self._write_key(already_acting, lease)
-        if isinstance(result, errors.Failure) or not result.succeeded:
-            # If the write took effect nevertheless, the watch reports the key.
+        if not self.lease.knows_keys_of(self._store.era):
+            if not await self._read_keys() or not self.lease.may_acquire():
+                return
+        resumes = self.lease.resumes(self._store.era)
+        result = await self._write_key(resumes, lease)
+        if result is None:
             await asyncio.sleep(RETRY_S)
             return
+        after_loss = self.lease.order_era != self._store.era
         self.lease.acquired(lease, result.revision, sent_at)
         telemetry.log(
             _log,
             "order_lease_taken",
-            fence=result.revision,
+            fence=storeera.describe(result.revision),
             first_order_in_s=self.lease.first_order_at - self._boot_clock(),
+            after_loss=after_loss,
         )
 
+    async def _reclaim(self) -> None:
+        """Claims the lease again after the store has lost its last changes.
+
+        Load pattern: the store comes back from an older copy. Without this no
+        engine would get an order until all leases of the lost time have
+        expired.
+        """
+        sent_at = self._boot_clock()
+        if sent_at >= self.lease.valid_until:
+            self._lose()
+            return
+        if not await self._read_keys():
+            return
+        if not self.lease.may_reclaim(self._store.era):
+            self._lose()
+            return
+        lease = await self._grant()
+        if lease is None:
+            return
+        acting, fence = self.lease.acting, self.lease.fence
+        holder = self.lease.holder
+        result = await self._write_key(acting, lease)
+        if result is None or not self.lease.fence:
+            await self._back_off()
+            return
+        self.lease.reclaimed(lease, result.revision, sent_at, acting)
+        telemetry.log(
+            _log,
+            "order_lease_reclaimed",
+            fence=storeera.describe(result.revision),
+            fence_before=storeera.describe(fence),
+            holder_before=holder.instance if holder else "",
+            acting=acting,
+        )
+
+    async def _read_keys(self) -> bool:
+        """Reads both keys from the store; returns whether that succeeded."""
+        result = await self._store.range(orderlease.KEYS_PREFIX)
+        if isinstance(result, errors.Failure):
+            await self._back_off()
+            return False
+        values = {value.key: value for value in result.values}
+        for key in (orderlease.ORDER_ERA_KEY, orderlease.ORDER_GIVER_KEY):
+            value = values.get(key)
+            self.observe(
+                keyvalue.WatchEvent(
+                    key,
+                    value.value if value else None,
+                    value.mod_revision if value else result.revision,
+                )
+            )
+        return True
+
+    async def _grant(self) -> int | None:
+        """Returns a new lease of the store's present era, or None."""
+        era = self._store.era
+        lease = await self._store.grant_lease(orderlease.LEASE_S)
+        if isinstance(lease, errors.Failure) or self._store.era != era:
+            await self._back_off()
+            return None
+        return lease
+
     async def _write_key(
         self, acting: bool, lease: int
-    ) -> keyvalue.TransactionResult | errors.Failure:
-        """Writes the key with this instance as the holder."""
+    ) -> keyvalue.TransactionResult | None:
+        """Writes the key with this instance as the holder.
+
+        Args:
+          acting: Whether it has given orders or is about to. The era of the
+            last order is then written as well.
+          lease: A lease of the store's present era.
+
+        Returns:
+          The result; None if the key was not written, if that is unknown, or if
+          the store has gone back meanwhile. If the write took effect
+          nevertheless, the watch reports the key.
+        """
+        era = self._store.era
         key = orderlease.ORDER_GIVER_KEY
         value = msgspec.structs.replace(self._me, acting=acting)
-        return await self._store.transact(
-            [keyvalue.Compare(key, self.lease.key_revision)],
-            [keyvalue.Put(key, msgspec.json.encode(value), lease)],
+        writes: list[keyvalue.Put | keyvalue.Delete] = [
+            keyvalue.Put(key, msgspec.json.encode(value), lease)
+        ]
+        if acting and self.lease.order_era != era:
+            writes.append(
+                keyvalue.Put(
+                    orderlease.ORDER_ERA_KEY, orderlease.encode_era(era)
+                )
+            )
+        result = await self._store.transact(
+            [
+                keyvalue.Compare(key, self.lease.key_revision),
+                keyvalue.Compare(
+                    orderlease.ORDER_ERA_KEY, self.lease.order_era_revision
+                ),
+            ],
+            writes,
         )
+        if isinstance(result, errors.Failure) or not result.succeeded:
+            return None
+        return result if self._store.era == era else None
+
+    async def _back_off(self) -> None:
+        """Waits before the next attempt, which `run` then makes at once."""
+        await asyncio.sleep(RETRY_S)
+        self._wake_up.set()
+
+    def _lose(self) -> None:
+        telemetry.log(
+            _log,
+            "order_lease_lost",
+            fence=storeera.describe(self.lease.fence),
+            era=self._store.era,
+        )
+        self.lease.lose()
 
     async def _renew(self) -> None:
         sent_at = self._boot_clock()
         if sent_at >= self.lease.valid_until:
-            telemetry.log(_log, "order_lease_lost", fence=self.lease.fence)
-            self.lease.lose()
+            self._lose()
             return
         ttl_s = await self._renew_with_fallback(self.lease.lease_id)
+        if self._store.era > self.lease.era:
+            # Leases are numbered anew: another one may have been renewed.
+            self._wake_up.set()
+            return
         if isinstance(ttl_s, errors.Failure):
             telemetry.log(
                 _log,
@@ -166,8 +275,7 @@
                 reason=str(ttl_s.reason),
                 left_s=self.lease.valid_until - self._boot_clock(),
             )
-            await asyncio.sleep(RETRY_S)
-            self._wake_up.set()
+            await self._back_off()
             return
         self.lease.renewed(ttl_s, sent_at)
         if self.lease.must_mark_acting(self._boot_clock()):
@@ -243,29 +351,41 @@
         ttl_s = await self._store.keep_lease(request.lease)
         if not isinstance(ttl_s, errors.Failure):
             answer = summaries.RenewalAnswer(
-                number=request.number, ttl_s=ttl_s, store_revision=revision
+                number=request.number,
+                ttl_s=ttl_s,
+                store_revision=revision,
+                era=self._store.era,
             )
             self._known_peers.send(answer, address)
 
     def receive_answer(self, answer: summaries.RenewalAnswer) -> None:
-        """Handles another instance's answer to a renewal request."""
+        """Handles another instance's answer to a renewal request.
+
+        An answer of another era does not concern this instance's lease.
+        """
+        if answer.era not in (None, self.lease.era):
+            return
         renewal = self._renewal_answers.pop(answer.number, None)
         if renewal is not None and not renewal.done():
             renewal.set_result(answer.ttl_s)
 
     async def release(self) -> None:
-        """Revokes the lease, if held, so that another instance may acquire it.
+        """Removes the key, if held, so that another instance may acquire it.
 
-        The lease is not acquired again.
+        The lease is not acquired again. It is not revoked by its number, which
+        may belong to another process since the store has gone back.
         """
         self.stopping = True
-        lease = self.lease.lease_id
+        key = orderlease.ORDER_GIVER_KEY
+        revision = self.lease.key_revision
         if self.lease.fence:
             self.lease.lose()
-            await self._store.revoke_lease(lease)
+            await self._store.transact(
+                [keyvalue.Compare(key, revision)], [keyvalue.Delete(key)]
+            )
 
     async def _mark_acting(self) -> None:
         """Marks the key `acting` before the first order."""
         result = await self._write_key(True, self.lease.lease_id)
-        if not isinstance(result, errors.Failure) and result.succeeded:
+        if result is not None:
             self.lease.marked_acting(result.revision)
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -1,14 +1,18 @@
 """Tests that at most one instance gives orders at a time."""
 
 import msgspec
+import pytest
 
+from carobsail import storeera
 from carobsail.keyvalue import WatchEvent
 from carobsail.orderlease import (
     HANDOVER_MARGIN_S,
     LEASE_S,
+    ORDER_ERA_KEY,
     ORDER_GIVER_KEY,
     Holder,
     OrderLease,
+    encode_era,
 )
 
 ME = Holder("i1", "10.0.0.1")
@@ -116,3 +120,67 @@
     lease.marked_acting(51)
     lease.renewed(0.0, 101.0)
     assert not lease.may_send_orders(101.0)
+
+
+@pytest.mark.parametrize(
+    ("last_order_era", "wait_s"),
+    [
+        (encode_era(2), 0.0),
+        (encode_era(1), HANDOVER_DELAY_S + HANDOVER_MARGIN_S + LEASE_S),
+        (None, HANDOVER_DELAY_S + HANDOVER_MARGIN_S + LEASE_S),
+        (b"\xff", HANDOVER_DELAY_S + HANDOVER_MARGIN_S + LEASE_S),
+        (encode_era(3), HANDOVER_DELAY_S + HANDOVER_MARGIN_S + LEASE_S),
+    ],
+)
+def test_own_key_counts_in_the_era_of_the_last_order_only(
+    last_order_era, wait_s
+):
+    """A key from an older copy says nothing of the holder that was lost."""
+    lease = OrderLease(ME, HANDOVER_DELAY_S)
+    revision = storeera.combine(2, 40)
+    lease.observe(WatchEvent(ORDER_ERA_KEY, last_order_era, revision))
+    lease.observe(key_event(acting(ME), revision))
+    lease.acquired(8, storeera.combine(2, 60), 200.0)
+    assert lease.first_order_at == 200.0 + wait_s
+    assert lease.may_send_orders(200.0) == (not wait_s)
+
+
+def test_key_of_an_older_copy_does_not_end_the_lease():
+    """The key names a holder that had ended before this one began."""
+    lease = OrderLease(ME, HANDOVER_DELAY_S)
+    era = WatchEvent(ORDER_ERA_KEY, encode_era(1), storeera.combine(1, 30))
+    lease.observe(era)
+    lease.acquired(7, storeera.combine(1, 50), 100.0)
+    lease.marked_acting(storeera.combine(1, 51))
+    lease.renewed(LEASE_S, 105.0)
+    lease.observe(key_event(acting(OTHER), storeera.combine(2, 40)))
+    assert lease.may_send_orders(105.1)
+    assert lease.may_reclaim(2)
+    lease.reclaimed(9, storeera.combine(2, 60), 106.0, acting=True)
+    assert lease.may_send_orders(108.0)
+    # A late report of the older key is ignored; one of the new era is not.
+    lease.observe(key_event(acting(OTHER), storeera.combine(2, 40)))
+    assert lease.key_revision == storeera.combine(2, 60)
+    lease.observe(key_event(OTHER, storeera.combine(2, 70)))
+    assert not lease.fence
+
+
+def test_lease_is_not_claimed_again_after_another_has_given_orders():
+    """Two held the lease when one learned late that the store went back."""
+    lease = OrderLease(ME, HANDOVER_DELAY_S)
+    lease.acquired(7, storeera.combine(1, 50), 100.0)
+    at = storeera.combine(2, 60)
+    lease.observe(WatchEvent(ORDER_ERA_KEY, encode_era(2), at))
+    lease.observe(key_event(acting(OTHER), at))
+    assert not lease.may_reclaim(2)
+
+
+def test_keys_that_were_lost_unseen_are_read_again():
+    """A key that the watch had never reported is not reported as removed."""
+    lease = OrderLease(ME, HANDOVER_DELAY_S)
+    lease.acquired(7, storeera.combine(1, 50), 100.0)
+    lease.marked_acting(storeera.combine(1, 51))
+    assert lease.knows_keys_of(1)
+    lease.lose()
+    lease.observe(key_event(ME, storeera.combine(2, 40)))
+    assert not lease.knows_keys_of(2)
--- a/tests/test_orders_property.py
+++ b/tests/test_orders_property.py
@@ -34,7 +34,7 @@
     """The order lease during one term."""
 
     def __init__(self, fence):
-        self.fence = fence
+        self.fence = self.term = fence
         self.me = orderlease.Holder(f"i{fence}", "10.0.0.1")
 
     def may_send_orders(self, now):
