Keep the entries of targets whose service is not configured yet

Callers of a route to an added service were refused by one instance until it restarted (503, no target), while all others served the route.

Cause: the decoder rejected an entry whose service the configuration of that moment did not name, as if it could not be read. Heartbeats are not relayed, so an instance that got the entry before the configuration never saw it again.

Change: entries are kept whatever the configuration names (targetlisting); a service without a route gets no requests. So a departure that is stated while no configuration names the service counts as well, and heartbeats of such entries are relayed no more than others. Another writer's entry under a live target's name still does not displace the target.

Targets of an added service are used at once instead of from their next heartbeat on.

--- a/carobsail/platform/documents.py
+++ b/carobsail/platform/documents.py
@@ -183,7 +183,7 @@
 
 
 def read_target(
-    key: str, data: bytes, revision: int, services: frozenset[str] | None
+    key: str, data: bytes, revision: int
 ) -> TargetEntry | errors.Failure:
     """Decodes the entry of a target.
 
@@ -191,7 +191,6 @@
       key: Key of the entry.
       data: Value of the entry.
       revision: Revision of the store at which it was written.
-      services: Names of the configured services, or None if not known.
     """
     identity = key.removeprefix(TARGETS_PREFIX)
     try:
@@ -202,8 +201,6 @@
             raise ValueError(f"malformed identity {identity[:60]!r}")
     except (*_DECODE_ERRORS, KeyError, ValueError) as error:
         return _malformed(key, error)
-    if services is not None and decoded.service not in services:
-        return _malformed(key, f"unknown service {decoded.service[:60]!r}")
     local_copies = decoded.atHand or _AtHand()
     return TargetEntry(
         identity,
@@ -354,18 +351,13 @@
         table = read_configuration(event.value, event.mod_revision)
         return _log_if_malformed(table, event)
 
-    def target(
-        self, event: keyvalue.WatchEvent, table: RouteTable | None
-    ) -> TargetEntry | str | None:
+    def target(self, event: keyvalue.WatchEvent) -> TargetEntry | str | None:
         """See base class."""
         if not event.key.startswith(TARGETS_PREFIX):
             return None
         if event.value is None:
             return event.key.removeprefix(TARGETS_PREFIX)
-        services = frozenset(table.services) if table else None
-        entry = read_target(
-            event.key, event.value, event.mod_revision, services
-        )
+        entry = read_target(event.key, event.value, event.mod_revision)
         return _log_if_malformed(entry, event)
 
 
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -35,6 +35,7 @@
     storeera,
     storemirror,
     targetchoice,
+    targetlisting,
     targetquery,
     targetregistry,
     telemetry,
@@ -71,9 +72,13 @@
 
     @abc.abstractmethod
     def target(
-        self, event: keyvalue.WatchEvent, table: routetable.RouteTable | None
+        self, event: keyvalue.WatchEvent
     ) -> targetregistry.TargetEntry | str | None:
-        """Returns the entry of a target, its identity if removed, or None."""
+        """Returns the entry of a target, its identity if removed, or None.
+
+        The service need not be configured yet: engines of a new service may
+        register before the configuration that names it is known.
+        """
 
 
 class ServingInstance:
@@ -145,6 +150,9 @@
                 lambda: storeera.era_of(self._mirror.revision)
             ),
         )
+        self._listing = targetlisting.TargetListing(
+            self._registry, self._mirror
+        )
         self._coordination = coordination.Coordination(
             orderlease.Holder(loaded.instance, loaded.address),
             loaded.link_mbps >= FAST_LINK_MBPS,
@@ -327,34 +335,16 @@
                 changed |= self._activate_configuration(table)
         for event in changes:
             self._coordination.observe(event)
-            entry = self._document_decoder.target(
-                event, self._request_handler.route_table
-            )
+            entry = self._document_decoder.target(event)
             if entry is None:
                 to_relay.append(event)
                 continue
-            if isinstance(entry, str):
-                change = self._registry.remove(entry, now, event.mod_revision)
-            else:
-                change = self._registry.put(entry, now)
+            change = self._listing.apply(
+                entry, event.mod_revision, self._request_handler.route_table
+            )
             if change is targetregistry.EntryChange.REGISTRATION:
                 to_relay.append(event)
-            if change is targetregistry.EntryChange.NONE:
-                continue
-            changed = True
-            telemetry.log(
-                _log,
-                "target_listed"
-                if not isinstance(entry, str)
-                else "target_gone",
-                target=entry if isinstance(entry, str) else entry.identity,
-                leaving=not isinstance(entry, str) and entry.leaving,
-                kept=isinstance(entry, str)
-                and self._registry.get(entry) is not None,
-                revision=event.mod_revision,
-                source=self._mirror.source,
-                copy_age_s=self._mirror.age_s,
-            )
+            changed |= change is not targetregistry.EntryChange.NONE
         self._coordination.relay(to_relay, before, after)
         if changed:
             self._request_handler.wake_waiting()
--- a/tests/test_accountcoordination.py
+++ b/tests/test_accountcoordination.py
@@ -98,3 +98,23 @@
         fresh.instances[0].observe(keyvalue.WatchEvent(key, value, 2))
     state = limits.state_of(LIMITED)
     assert state.allocation == pytest.approx(accountlimits.FRESH_SHARE / 3)
+
+
+async def test_account_that_the_coordinator_learns_late_gets_grants():
+    """Counts of an account that it does not know are not kept for later."""
+    group = await limited_group(3)
+    coordinator = group.holders()[0]
+    late = account("late", limit_per_s=1000.0, burst=2000.0)
+    table = keyed_table(
+        stream_route(), keys={KEY: LIMITED, KEY + "-late": late}
+    )
+    others = [h for n, h in enumerate(group.handlers) if n != coordinator]
+    for handler in others:
+        handler.accounts.configure(table.accounts)
+    assert await admitted(others[0], late, 1) == 0
+    await asyncio.sleep(3.0)
+    group.handlers[coordinator].accounts.configure(table.accounts)
+    await asyncio.sleep(1.0)
+    counts = [await admitted(handler, late, 1) for handler in others]
+    assert counts == [1, 1]
+    group.stop()
