Show eras beside revisions in all log lines

The page for operators says that log lines show revisions as ERA:REVISION; some of them showed the combined number, such as for 2:8. Those of the order lease, orders and targets are what an operator compares after the store has come back from an older copy.

In era 0 the figures are numbers as before.

--- a/carobsail/accountadmission.py
+++ b/carobsail/accountadmission.py
@@ -17,6 +17,7 @@
     errors,
     headercodec,
     limitbounds,
+    storeera,
     telemetry,
 )
 
@@ -194,7 +195,7 @@
     def describe(self) -> dict[str, Any]:
         """Returns the state of the limits, for operators."""
         return {
-            "fence": self.limits.fence,
+            "fence": storeera.describe(self.limits.fence),
             "update_age_s": self.boot_clock() - self.limits.heard_at,
             "accounts": {
                 name: {
--- a/carobsail/accountcoordination.py
+++ b/carobsail/accountcoordination.py
@@ -18,6 +18,7 @@
     errors,
     keyvalue,
     orderlease,
+    storeera,
     summaries,
     telemetry,
     tokenbucket,
@@ -107,7 +108,7 @@
                 "document_ignored",
                 level=logging.WARNING,
                 item=event.key,
-                revision=event.mod_revision,
+                revision=storeera.describe(event.mod_revision),
                 reason="not a number",
             )
             return
--- a/carobsail/coordinator.py
+++ b/carobsail/coordinator.py
@@ -22,6 +22,7 @@
     orderlease,
     routetable,
     starvation,
+    storeera,
     summaries,
     targetregistry,
     telemetry,
@@ -181,7 +182,11 @@
 
     def _end_term(self) -> None:
         if self._term:
-            telemetry.log(_log, "order_term_ended", fence=self._term_fence)
+            telemetry.log(
+                _log,
+                "order_term_ended",
+                fence=storeera.describe(self._term_fence),
+            )
         self._term = 0
         self._records.clear()
         self._unserved_models.clear()
@@ -221,7 +226,7 @@
                 _log,
                 "target_says_leaving",
                 target=identity,
-                entry_revision=target.entry.revision,
+                entry_revision=storeera.describe(target.entry.revision),
                 entry_leaving=target.entry.leaving,
             )
 
@@ -343,7 +348,7 @@
             model=order.model,
             adapter=order.adapter,
             orders_before=record.accepted_orders,
-            fence=fence,
+            fence=storeera.describe(fence),
             verdict=str(verdict),
         )
         if failed or verdict in (
--- a/carobsail/departedtargets.py
+++ b/carobsail/departedtargets.py
@@ -212,10 +212,12 @@
             event,
             target=entry.identity,
             start_time_ms=entry.start_time_ms,
-            revision=entry.revision,
+            revision=storeera.describe(entry.revision),
             era=self._era,
-            first_listing=self._first_listing,
-            departed_revision=departure.revision if departure else 0,
+            first_listing=storeera.describe(self._first_listing or 0),
+            departed_revision=storeera.describe(
+                departure.revision if departure else 0
+            ),
             said_leaving=departure is not None and departure.said_leaving,
         )
 
@@ -232,7 +234,7 @@
                 "target_kept",
                 target=entry.identity,
                 start_time_ms=entry.start_time_ms,
-                revision=entry.revision,
-                missing_revision=revision,
+                revision=storeera.describe(entry.revision),
+                missing_revision=storeera.describe(revision),
                 era=self._era,
             )
--- a/carobsail/failureresponses.py
+++ b/carobsail/failureresponses.py
@@ -12,6 +12,7 @@
     loglimit,
     refusals,
     routetable,
+    storeera,
     targetchoice,
     telemetry,
 )
@@ -64,7 +65,7 @@
             method=request.method,
             host=host,
             path=request.path[: refusals.MAX_LOGGED_PATH],
-            table_revision=table.revision if table else 0,
+            table_revision=storeera.describe(table.revision if table else 0),
             table_age_s=table_age_s,
             left_out=left_out,
         )
--- a/carobsail/leasekeeper.py
+++ b/carobsail/leasekeeper.py
@@ -89,7 +89,7 @@
                 _log,
                 "order_giver_changed",
                 holder=holder.instance if holder else "",
-                revision=event.mod_revision,
+                revision=storeera.describe(event.mod_revision),
             )
         self._wake_up.set()
 
--- a/carobsail/platform/documents.py
+++ b/carobsail/platform/documents.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from carobsail import errors, keyvalue, servinginstance, settings, telemetry
+from carobsail import (
+    errors,
+    keyvalue,
+    servinginstance,
+    settings,
+    storeera,
+    telemetry,
+)
 from carobsail.clientaccounts import AccountDirectory, ClientAccount
 from carobsail.engineorders import EngineReport
 from carobsail.routetable import (
@@ -374,7 +381,7 @@
         "document_ignored",
         level=logging.WARNING,
         item=event.key,
-        revision=event.mod_revision,
+        revision=storeera.describe(event.mod_revision),
         reason=str(decoded.reason),
         detail=decoded.detail,
     )
--- a/carobsail/servinginstance.py
+++ b/carobsail/servinginstance.py
@@ -261,7 +261,7 @@
             },
             "order_giver": {
                 "holder": self._coordination.lease.holder,
-                "fence": self._coordination.lease.fence,
+                "fence": storeera.describe(self._coordination.lease.fence),
             },
             "account_limits": self._request_handler.accounts.describe(),
             "in_flight": self._request_handler.in_flight,
@@ -366,7 +366,7 @@
                 _log,
                 "configuration_ignored",
                 version=table.version,
-                revision=table.revision,
+                revision=storeera.describe(table.revision),
             )
             return False
         before = self._request_handler.route_table
@@ -388,7 +388,7 @@
             _log,
             "configuration_in_force",
             version=table.version,
-            revision=table.revision,
+            revision=storeera.describe(table.revision),
             routes=len(table.routes()),
             version_before=before.version if before else 0,
             added=len(
--- a/carobsail/targetlisting.py
+++ b/carobsail/targetlisting.py
@@ -9,7 +9,13 @@
 import asyncio
 import logging
 
-from carobsail import routetable, storemirror, targetregistry, telemetry
+from carobsail import (
+    routetable,
+    storeera,
+    storemirror,
+    targetregistry,
+    telemetry,
+)
 from carobsail.targetentry import EntryChange, TargetEntry
 
 _log = logging.getLogger(__name__)
@@ -61,7 +67,7 @@
                 "document_ignored",
                 level=logging.WARNING,
                 item=entry.identity,
-                revision=revision,
+                revision=storeera.describe(revision),
                 reason="written by another process",
                 detail=f"unknown service {entry.service[:60]!r}",
             )
@@ -100,7 +106,7 @@
             service=entry.service,
             configured=table is not None and entry.service in table.services,
             leaving=entry.leaving,
-            revision=revision,
+            revision=storeera.describe(revision),
             source=self._mirror.source,
             copy_age_s=self._mirror.age_s,
         )
@@ -111,7 +117,7 @@
             "target_gone",
             target=identity,
             kept=self._registry.get(identity) is not None,
-            revision=revision,
+            revision=storeera.describe(revision),
             source=self._mirror.source,
             copy_age_s=self._mirror.age_s,
         )
--- a/carobsail/valuereader.py
+++ b/carobsail/valuereader.py
@@ -11,7 +11,7 @@
 import logging
 from collections.abc import Callable, Coroutine, Iterable
 
-from carobsail import errors, keyvalue, storecopy, telemetry
+from carobsail import errors, keyvalue, storecopy, storeera, telemetry
 
 # A value is requested from other instances for this long, then from the store.
 MAX_PEER_READ_S = 1.5
@@ -141,8 +141,8 @@
             "value_read",
             item=value.key,
             peer=source or "store",
-            revision=value.mod_revision,
-            announced_revision=revision,
+            revision=storeera.describe(value.mod_revision),
+            announced_revision=storeera.describe(revision),
             after_s=now - started_at,
         )
         self._on_value(value, source or "store")
