End the lease if its key was claimed before the own write is known

The lost holder may claim the order lease between another instance's write of the key and that instance's reading of the response. The watch then reports the claim first, and the late response made the instance take itself for the holder with a replaced key, without an order and without an end. Likewise a mark `acting` of an earlier term, which an older copy brings back, counted for the present one.

Change: a response that is older than the key's known revision does not count; a failed mark makes the holder read the key; marks count in the lease's own era only.

--- a/carobsail/leasekeeper.py
+++ b/carobsail/leasekeeper.py
@@ -216,8 +216,8 @@
 
         Returns:
           The result; None if the key was not written, if that is unknown, or if
-          the store has gone back meanwhile. If the write took effect
-          nevertheless, the watch reports the key.
+          the store has gone back or another instance has written the key
+          meanwhile. If the write holds nevertheless, the watch reports the key.
         """
         era = self._store.era
         key = orderlease.ORDER_GIVER_KEY
@@ -240,9 +240,15 @@
             ],
             writes,
         )
-        if isinstance(result, errors.Failure) or not result.succeeded:
+        if (
+            isinstance(result, errors.Failure)
+            or not result.succeeded
+            or self._store.era != era
+            # The lost holder may have claimed the lease again since.
+            or result.revision < self.lease.key_revision
+        ):
             return None
-        return result if self._store.era == era else None
+        return result
 
     async def _back_off(self) -> None:
         """Waits before the next attempt, which `run` then makes at once."""
@@ -389,3 +395,6 @@
         result = await self._write_key(True, self.lease.lease_id)
         if result is not None:
             self.lease.marked_acting(result.revision)
+        else:
+            # The key may name another holder already.
+            await self._read_keys()
--- a/carobsail/orderlease.py
+++ b/carobsail/orderlease.py
@@ -151,17 +151,14 @@
         before = self.holder
         self.holder = holder
         self.key_revision = 0 if event.value is None else event.mod_revision
-        if self.fence and self.me.same_machine(holder):
-            # The response to the write that marked it may have been lost.
-            self.acting |= holder is not None and holder.acting
-        if (
-            event.mod_revision > self.fence
-            and storeera.era_of(event.mod_revision) == self.era
-            and not self.me.same_machine(holder)
-        ):
-            # The key names another holder or was deleted: the lease ended. In
-            # a later era it may name an earlier holder; see `may_reclaim`.
-            self.lose()
+        # In a later era the key may be of an earlier term; see `may_reclaim`.
+        if self.fence and storeera.era_of(event.mod_revision) == self.era:
+            if self.me.same_machine(holder):
+                # The response to the write that marked it may be lost.
+                self.acting |= holder is not None and holder.acting
+            elif event.mod_revision > self.fence:
+                # The key names another holder or was deleted: the lease ended.
+                self.lose()
         if holder is None or before is None:
             return holder is not before
         return not holder.same_machine(before)
--- a/tests/test_leasekeeper.py
+++ b/tests/test_leasekeeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from builders_leases import HANDOVER_DELAY_S, LeaseFleet
 
@@ -160,6 +161,40 @@
     fleet.end()
 
 
+@pytest.mark.parametrize("held", [False, True], ids=["taken", "marked"])
+async def test_claim_that_is_known_before_the_own_write_ends_the_lease(held):
+    """An instance took itself for the holder whose key another had replaced.
+
+    The response to its write and the change after it come on two connections.
+    """
+    fleet = LeaseFleet(1)
+    await fleet.start()
+    machine = fleet.machines[0]
+    if held:
+        await polling.until(lambda: bool(machine.keeper.lease.fence))
+    transact = machine.store.transact
+
+    async def transact_and_be_replaced(compares, writes):
+        result = await transact(compares, writes)
+        if isinstance(result, keyvalue.TransactionResult) and result.succeeded:
+            other = orderlease.Holder("other", "10.0.0.9", acting=True)
+            value = msgspec.json.encode(other)
+            await fleet.store.data.transact(
+                [], [keyvalue.Put(orderlease.ORDER_GIVER_KEY, value)]
+            )
+            # The watch reports the change before this response arrives.
+            await polling.until(
+                lambda: machine.keeper.lease.key_revision > result.revision
+            )
+        return result
+
+    machine.store.transact = transact_and_be_replaced
+    await asyncio.sleep(TAKEOVER_S)
+    fleet.end()
+    assert not machine.keeper.lease.fence
+    assert fleet.orders == []
+
+
 async def play(seed):
     """Plays losses, restarts and cut-offs in random order; returns the fleet.
 
--- a/tests/test_orderlease.py
+++ b/tests/test_orderlease.py
@@ -175,6 +175,17 @@
     assert not lease.may_reclaim(2)
 
 
+def test_mark_of_an_earlier_term_does_not_count():
+    """The key of an older copy was marked by this instance long before."""
+    lease = OrderLease(ME, HANDOVER_DELAY_S)
+    lease.acquired(7, storeera.combine(1, 50), 100.0)
+    lease.observe(key_event(acting(ME), storeera.combine(2, 40)))
+    first = lease.first_order_at
+    lease.renewed(LEASE_S, first)
+    assert not lease.may_send_orders(first)
+    assert lease.must_mark_acting(first)
+
+
 def test_keys_that_were_lost_unseen_are_read_again():
     """A key that the watch had never reported is not reported as removed."""
     lease = OrderLease(ME, HANDOVER_DELAY_S)
