--- a/carobsail/storeera.py
+++ b/carobsail/storeera.py
@@ -48,13 +48,13 @@
     return combined % REVISIONS_PER_ERA
 
 
-def describe(combined: int) -> str | int:
-    """Returns a combined number as `ERA:REVISION`; in era 0 as it is.
+def describe(combined: int) -> str:
+    """Returns a combined number as `ERA:REVISION`; without the era if it is 0.
 
     For log lines and operators.
     """
     era, revision = divmod(combined, REVISIONS_PER_ERA)
-    return f"{era}:{revision}" if era else revision
+    return f"{era}:{revision}" if era else str(revision)
 
 
 @dataclasses.dataclass(slots=True)
