Add and remove services in the soak, and fix its repeated losses

Versions now name the services that their routes use; the targets of the others go on renewing their entries.

The copy that was used stays.

--- a/soak/backups.py
+++ b/soak/backups.py
@@ -55,6 +55,8 @@
         await asyncio.sleep(away_s)
         self._store.go_back(older, leases_paused)
         self._store.silent, self._store.status = False, 0
-        # Later copies hold data that the store never had.
-        self._copies = [c for c in self._copies if c.made_at <= older.made_at]
+        # Later copies hold data that the store never had. This one may have
+        # been dropped as too old meanwhile.
+        self._copies = [c for c in self._copies if c.made_at < older.made_at]
+        self._copies.append(older)
         return older.made_at
--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -83,7 +83,8 @@
             _route(Kind.ADDED, host, prefix, "safe", services, 2)
             for (host, prefix), services in self._added.items()
         ]
-        return _document(self.version, routes)
+        used = frozenset().union(*self.routes.values())
+        return _document(self.version, routes, used)
 
     def _change(self) -> None:
         rng = self._rng
@@ -139,7 +140,14 @@
     return route
 
 
-def _document(version: int, routes: list[dict[str, object]]) -> bytes:
+def _document(
+    version: int, routes: list[dict[str, object]], used: frozenset[str]
+) -> bytes:
+    """Returns a document that names the services to which routes lead.
+
+    Their targets register and renew their entries all the time, so a version
+    may name a service whose entries instances have known for long.
+    """
     engine = {
         "slots": SLOTS,
         "kvCapacity": 120_000,
@@ -157,7 +165,7 @@
             for n in range(MODEL_COUNT)
         ],
     }
-    names = ["plain", *(f"c{n}" for n in range(CONFIG_SERVICES))]
+    names = sorted(used - {"llm"})
     return msgspec.json.encode(
         {
             "version": version,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import random
 
+import msgspec
 import pytest
 
-from soak import checks, configurations, schedule, storestandin, targets
+from soak import (
+    backups,
+    checks,
+    configurations,
+    schedule,
+    storestandin,
+    targets,
+)
 from soak.__main__ import play
 from soak.records import (
     HOST,
@@ -350,6 +359,18 @@
     assert permanent == set(versions[0]) and len(permanent) == 4
 
 
+def test_versions_name_the_services_that_they_use():
+    """All services were in each version, so none was ever added (CONFIG)."""
+    series = configurations.Series(7)
+    named = []
+    for _ in range(20):
+        document = msgspec.json.decode(series.advance())
+        named.append({s["name"] for s in document["services"]})
+        used = frozenset().union(*series.routes.values())
+        assert named[-1] == used
+    assert any(later - earlier for earlier, later in itertools.pairwise(named))
+
+
 def test_second_holder_with_an_old_fence_is_found():
     """Fences must not decrease, however late an order arrives."""
     violations = checks.one_instance_gives_orders(
@@ -442,3 +463,16 @@
     assert target.alive and target.identity in seen.leaving_since
     await leaving
     assert not target.alive
+
+
+@pytest.mark.memory_network
+async def test_store_goes_back_again_after_a_long_absence():
+    """The soak ended with an IndexError: its copy was too old by the return."""
+    store = storestandin.StoreStandin()
+    copies = backups.Backups(store)
+    copying = asyncio.create_task(copies.run())
+    await asyncio.sleep(2 * backups.MAX_LOST_S)
+    for _ in range(2):
+        await copies.lose(backups.MAX_LOST_S, 4.0, False, True)
+    copying.cancel()
+    assert not store.down
