Name most services in each version of the soak

A quarter of the services now comes and goes with the routes that use it; the others are always named.

--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -143,9 +143,9 @@
 def _document(
     version: int, routes: list[dict[str, object]], used: frozenset[str]
 ) -> bytes:
-    """Returns a document that names the services to which routes lead.
+    """Returns a document with most services, and all that are in use.
 
-    Their targets register and renew their entries all the time, so a version
+    The targets of all services renew their entries all the time, so a version
     may name a service whose entries instances have known for long.
     """
     engine = {
@@ -165,7 +165,8 @@
             for n in range(MODEL_COUNT)
         ],
     }
-    names = sorted(used - {"llm"})
+    lasting = {f"c{n}" for n in range(CONFIG_SERVICES) if n % 4}
+    names = sorted(lasting | {"plain"} | used - {"llm"})
     return msgspec.json.encode(
         {
             "version": version,
