Guard the plans of a coordinator that claims its lease again

test_lease_that_is_claimed_again_goes_on_with_the_same_plans fails if the term follows the fencing number, as it did before: the coordinator then forgets its plans and the calls under way, and may order the same engine again.

--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -966,3 +966,30 @@
     caplog.clear()
     instance._handle_datagram(summaries.encode(malformed), ("10.0.0.1", 7000))
     assert [r.msg["event"] for r in caplog.records] == ["datagram_malformed"]
+
+
+async def test_lease_that_is_claimed_again_goes_on_with_the_same_plans():
+    """A new fencing number alone made the coordinator forget all engines.
+
+    Orders under way would then be followed by others to the same engine.
+    """
+    group = Group(1)
+    await group.wait_for_holder()
+    instance = group.instances[0]
+    await asyncio.sleep(1.0)
+    record = instance._coordinator._records["e1"]
+    planned = engineorders.Order(engineorders.Verb.LOAD, "m2")
+    record.pending = [planned]
+    record.next_order_at = asyncio.get_running_loop().time() + 60.0
+    lease = instance.lease
+    now = asyncio.get_running_loop().time()
+    lease.reclaimed(lease.lease_id, lease.fence + 1, now, acting=True)
+    await asyncio.sleep(0.5)
+    assert instance._coordinator._records["e1"] is record
+    assert record.pending == [planned]
+    # Taking it again after it was lost is another term.
+    lease.lose()
+    lease.acquired(10, lease.key_revision + 1, now)
+    await asyncio.sleep(0.5)
+    assert instance._coordinator._records.get("e1") is not record
+    group.stop()
