--- a/soak/backups.py
+++ b/soak/backups.py
@@ -31,6 +31,13 @@
                 del self._copies[0]
             await asyncio.sleep(INTERVAL_S)
 
+    def newest_before(self, at: float) -> keyvalue.Checkpoint:
+        """Returns the newest copy of a time or before, or the oldest one."""
+        return next(
+            (c for c in reversed(self._copies) if c.made_at <= at),
+            self._copies[0],
+        )
+
     async def lose(
         self, lost_s: float, away_s: float, silent: bool, leases_paused: bool
     ) -> float:
@@ -45,11 +52,7 @@
         Returns:
           Time of the copy.
         """
-        due_at = asyncio.get_running_loop().time() - lost_s
-        older = next(
-            (c for c in reversed(self._copies) if c.made_at <= due_at),
-            self._copies[0],
-        )
+        older = self.newest_before(asyncio.get_running_loop().time() - lost_s)
         self._store.silent = silent
         self._store.status = 0 if silent else 503
         await asyncio.sleep(away_s)
--- a/tests/builders_leases.py
+++ b/tests/builders_leases.py
@@ -42,6 +42,7 @@
       address: Its IP address.
       keeper: Keeps the order lease for the present process.
       store: Client of that process.
+      mirror: Its copy of the store.
       running: Whether there is a process.
     """
 
--- a/tests/test_leasekeeper.py
+++ b/tests/test_leasekeeper.py
@@ -91,7 +91,7 @@
     """A lease number that was given out again kept an old holder in office."""
     fleet = LeaseFleet(2)
     await fleet.start()
-    first, second, ended_at = await restart_holder(fleet)
+    _, second, ended_at = await restart_holder(fleet)
     lease = second.keeper.lease
     number = lease.lease_id
     await fleet.backups.lose(now() - ended_at + 0.3, 0.3, True, True)
@@ -115,9 +115,7 @@
     await fleet.start()
     _, second, ended_at = await restart_holder(fleet)
     number = second.keeper.lease.lease_id
-    older = fleet.backups._copies
-    copy = [c for c in older if c.made_at < ended_at - 0.3][-1]
-    fleet.store.go_back(copy)
+    fleet.store.go_back(fleet.backups.newest_before(ended_at - 0.3))
     while (lease := await fleet.store.data.grant_lease(60.0)) < number:
         pass
     await fleet.store.data.transact(
@@ -135,17 +133,16 @@
     """The key of the lost holder was missing, so its lease looked free."""
     fleet = LeaseFleet(2)
     await fleet.start()
-    await fleet.holder()
+    lost_holder = await fleet.holder()
     await asyncio.sleep(1.0)
-    first = await fleet.holder()
-    first.cut_off(60.0)
+    lost_holder.cut_off(60.0)
     await fleet.backups.lose(60.0, 0.3, False, True)
     values = await fleet.store.data.range(KEYS)
     assert not values.values
     await asyncio.sleep(TAKEOVER_S)
     fleet.end()
     assert fleet.conflicts() == []
-    assert fleet.orders[-1].instance != first.name
+    assert fleet.orders[-1].instance != lost_holder.name
 
 
 async def test_store_without_eras_needs_no_second_key():
