--- a/carobsail/orderlease.py
+++ b/carobsail/orderlease.py
@@ -26,8 +26,8 @@
 
 # Start of the names of both keys, and of no others.
 KEYS_PREFIX = "carobsail/order-"
-ORDER_GIVER_KEY = KEYS_PREFIX + "giver"
-ORDER_ERA_KEY = KEYS_PREFIX + "era"
+ORDER_GIVER_KEY = "carobsail/order-giver"
+ORDER_ERA_KEY = "carobsail/order-era"
 # When the holder is lost, no engine gets an order for this time plus the
 # handover delay. A renewal whose response is lost can be repeated twice within
 # the lease.
